--- a/include/carobtrail/log.h
+++ b/include/carobtrail/log.h
@@ -25,6 +25,7 @@
 #define CAROB_LOG_EVENTS(X)                                                    \
 	X(CAROB_EV_STARTED, 1001, INFO, "process started")                     \
 	X(CAROB_EV_DRAINING, 1002, INFO, "graceful stop begun")                \
+	X(CAROB_EV_READINESS, 1006, INFO, "readiness changed")                 \
 	X(CAROB_EV_STOPPED, 1003, INFO, "process stopped")                     \
 	X(CAROB_EV_SETTINGS_REFUSED, 1004, ERROR, "settings refused")          \
 	X(CAROB_EV_START_FAILED, 1005, ERROR, "process could not start")       \
@@ -38,6 +39,12 @@
 	  "the platform answers again")                                        \
 	X(CAROB_EV_WATCH_CHANGED, 2005, INFO,                                  \
 	  "whether this instance watches the platform changed")                \
+	X(CAROB_EV_CONFIG_APPLIED, 2010, INFO, "configuration in force")       \
+	X(CAROB_EV_CONFIG_REFUSED, 2011, ERROR, "configuration refused")       \
+	X(CAROB_EV_CATALOG_LISTED, 2012, INFO,                                 \
+	  "all upstreams and the configuration were read")                     \
+	X(CAROB_EV_ITEM_UNUSABLE, 2013, WARN,                                  \
+	  "an item of the platform cannot be read and is not used")            \
 	X(CAROB_EV_MEMBER_JOINED, 3001, INFO, "an instance joined")            \
 	X(CAROB_EV_MEMBER_LEAVING, 3002, INFO, "an instance is leaving")       \
 	X(CAROB_EV_MEMBER_LEFT, 3003, INFO, "an instance left")                \
@@ -70,6 +77,13 @@
 	  "upstream silent on all paths")                                      \
 	X(CAROB_EV_MEMORY_IMPORTED, 4003, INFO,                                \
 	  "predecessor's memory taken over")                                   \
+	X(CAROB_EV_FLOW_DECIDED, 4010, INFO, "where a packet goes")            \
+	X(CAROB_EV_UPSTREAM_STATE, 5001, INFO,                                 \
+	  "what is believed of an upstream changed")                           \
+	X(CAROB_EV_UPSTREAM_AVOIDED, 5002, WARN,                               \
+	  "an upstream leaves SYNs unanswered: others go first")               \
+	X(CAROB_EV_UPSTREAM_ANSWERS, 5003, INFO,                               \
+	  "an upstream that was passed over answers again")                    \
 	X(CAROB_EV_PROBES_DISTRUSTED, 5010, WARN,                              \
 	  "most upstreams look silent: health probes do not count")
 
--- /dev/null
+++ b/src/flow/catalog.c
@@ -0,0 +1,423 @@
+#include "carobtrail/catalog.h"
+
+#include "carobtrail/errors.h"
+#include "carobtrail/log.h"
+#include "carobtrail/rng.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A listing is answered in milliseconds, in 250 ms by a slow platform. */
+#define LIST_TIMEOUT_MS 1500
+/* After a failure, a short watch shows whether the platform is back. */
+#define PROBE_WAIT_MS	 1
+#define PROBE_TIMEOUT_MS 1000
+#define RETRY_MS_FIRST	 200
+#define RETRY_MS_MAX	 1000
+/* Parts of the time within which beliefs must be fresh again: the wait, the
+ * time-out of a silent connection, and the rest for the read after it. */
+#define WATCH_WAIT_OF(contact_ms)    ((contact_ms)*5 / 8)
+#define WATCH_TIMEOUT_OF(contact_ms) ((contact_ms)*7 / 8)
+/* Changes come in bursts, and each call costs: pause after one. */
+#define PAUSE_OF(apply_ms) ((apply_ms)*2 / 5)
+/* Entries that lapsed in an outage are back 2 s after it if their upstreams
+ * live; 1 s for the read that shows it. */
+#define LAPSE_GRACE_NS (3 * CAROB_NS_PER_S)
+/* Packets of old flows may still name an upstream that is gone. */
+#define FORGET_GONE_NS (120 * CAROB_NS_PER_S)
+
+typedef enum catalog_read {
+	READ_NOTHING,
+	READ_PAGE,
+	READ_CHANGES,
+} catalog_read_t;
+
+struct carob_catalog {
+	carob_catalog_reader_t reader;
+	carob_catalog_options_t options;
+	carob_timer_t next;  /* begins the next read */
+	carob_timer_t lapse; /* ends the grace of lapsed entries */
+	carob_rng_t rng;
+	catalog_read_t reading;
+	carob_buf_t page_after; /* key behind which the next page begins */
+	uint64_t page_revision; /* of the first page */
+	bool listed;		/* a whole listing has been read */
+	uint64_t revision;
+	uint64_t answered_ns;
+	uint64_t regained_ns; /* when the platform answered again */
+	uint32_t failures;    /* since the last answer */
+	carob_catalog_counters_t counters;
+};
+
+static uint64_t now_ns(const carob_catalog_t *catalog)
+{
+	return carob_kernel_now_ns(catalog->options.kernel);
+}
+
+static void read_page(carob_catalog_t *catalog)
+{
+	catalog->reading = READ_PAGE;
+	catalog->counters.lists++;
+	if (catalog->page_after.len == 0)
+		carob_upstream_table_begin_listing(catalog->options.upstreams);
+	catalog->options.source->ops->list(catalog->options.source,
+					   &catalog->reader,
+					   carob_buf_view(&catalog->page_after),
+					   LIST_TIMEOUT_MS);
+}
+
+static void read_changes(carob_catalog_t *catalog)
+{
+	bool probe = catalog->failures > 0;
+	uint32_t contact_ms = catalog->options.contact_ms;
+
+	catalog->reading = READ_CHANGES;
+	catalog->counters.watches++;
+	catalog->options.source->ops->watch(
+		catalog->options.source, &catalog->reader, catalog->revision,
+		probe ? PROBE_WAIT_MS : WATCH_WAIT_OF(contact_ms),
+		probe ? PROBE_TIMEOUT_MS : WATCH_TIMEOUT_OF(contact_ms));
+}
+
+static void on_next(carob_timer_t *timer)
+{
+	carob_catalog_t *catalog =
+		CAROB_CONTAINER_OF(timer, carob_catalog_t, next);
+
+	if (catalog->listed)
+		read_changes(catalog);
+	else
+		read_page(catalog);
+}
+
+static void read_in(carob_catalog_t *catalog, uint64_t ms)
+{
+	catalog->reading = READ_NOTHING;
+	(void)carob_timer_arm(catalog->options.kernel, &catalog->next,
+			      now_ns(catalog) + ms * CAROB_NS_PER_MS);
+}
+
+/* Doubles from the first pause to the longest, each shortened by up to half
+ * so that instances do not ask together. */
+static uint64_t retry_pause_ms(carob_catalog_t *catalog)
+{
+	uint64_t pause = RETRY_MS_FIRST;
+
+	for (uint32_t i = 1; i < catalog->failures && pause < RETRY_MS_MAX; i++)
+		pause *= 2;
+	if (pause > RETRY_MS_MAX)
+		pause = RETRY_MS_MAX;
+	return pause / 2 +
+	       carob_rng_below(&catalog->rng, (uint32_t)(pause / 2) + 1);
+}
+
+static bool in_lapse_grace(const carob_catalog_t *catalog)
+{
+	return catalog->regained_ns != 0 &&
+	       now_ns(catalog) - catalog->regained_ns < LAPSE_GRACE_NS;
+}
+
+static carob_upstream_state_t state_when_missing(const carob_catalog_t *catalog)
+{
+	return in_lapse_grace(catalog) ? CAROB_UPSTREAM_LAPSED
+				       : CAROB_UPSTREAM_GONE;
+}
+
+static void on_lapse(carob_timer_t *timer)
+{
+	carob_catalog_t *catalog =
+		CAROB_CONTAINER_OF(timer, carob_catalog_t, lapse);
+
+	carob_upstream_table_expire_lapsed(catalog->options.upstreams,
+					   now_ns(catalog));
+}
+
+static int copy_shares(carob_route_t *out, const carob_catalog_route_t *route,
+		       carob_name_table_t *services)
+{
+	int error = 0;
+
+	out->endpoint = route->endpoint;
+	out->share_count = route->share_count;
+	for (size_t i = 0; !error && i < route->share_count; i++) {
+		out->shares[i].weight = route->shares[i].weight;
+		error = carob_name_table_add(&out->shares[i].service, services,
+					     route->shares[i].service);
+	}
+	return error;
+}
+
+static void log_config(int error, const carob_catalog_t *catalog,
+		       uint64_t version, size_t routes, uint64_t revision)
+{
+	(void)catalog;
+	if (error)
+		CAROB_LOG(CAROB_EV_CONFIG_REFUSED,
+			  CAROB_FIELD_U64("version", version),
+			  CAROB_FIELD_U64("revision", revision),
+			  CAROB_FIELD_CSTR("error", carob_error_last()));
+	else
+		CAROB_LOG(CAROB_EV_CONFIG_APPLIED,
+			  CAROB_FIELD_U64("version", version),
+			  CAROB_FIELD_U64("routes", routes),
+			  CAROB_FIELD_U64("revision", revision));
+}
+
+static int apply_config(carob_catalog_t *catalog,
+			const carob_catalog_config_t *config, uint64_t revision)
+{
+	carob_route_config_t next = {
+		.version = config->version,
+		.idle_timeout_ms = config->idle_timeout_ms,
+		.count = config->count,
+	};
+	int error = 0;
+
+	next.routes =
+		calloc(config->count ? config->count : 1, sizeof(*next.routes));
+	if (!next.routes)
+		return carob_error_set(CAROB_ENOMEM, "configuration");
+	for (size_t i = 0; !error && i < config->count; i++)
+		error = copy_shares(&next.routes[i], &config->routes[i],
+				    &catalog->options.upstreams->services);
+	if (!error)
+		error = carob_route_table_apply(catalog->options.routes, &next);
+	free(next.routes);
+	if (error != CAROB_ESTALE) /* each listing shows it again */
+		log_config(error, catalog, config->version, config->count,
+			   revision);
+	return error;
+}
+
+static void apply_unusable(carob_catalog_t *catalog,
+			   const carob_catalog_change_t *change)
+{
+	catalog->counters.unusable++;
+	CAROB_LOG(CAROB_EV_ITEM_UNUSABLE,
+		  CAROB_FIELD_STR("upstream", change->upstream_id),
+		  CAROB_FIELD_U64("revision", change->revision));
+}
+
+static void apply(carob_catalog_t *catalog,
+		  const carob_catalog_change_t *change)
+{
+	carob_upstream_table_t *upstreams = catalog->options.upstreams;
+	int error = 0;
+
+	switch (change->kind) {
+	case CAROB_CATALOG_UPSTREAM:
+		error = carob_upstream_table_put(upstreams, &change->upstream,
+						 change->revision,
+						 now_ns(catalog));
+		break;
+	case CAROB_CATALOG_UPSTREAM_UNUSABLE:
+		apply_unusable(catalog, change);
+		carob_upstream_table_remove(upstreams, change->upstream_id,
+					    change->revision,
+					    CAROB_UPSTREAM_GONE,
+					    now_ns(catalog));
+		break;
+	case CAROB_CATALOG_UPSTREAM_REMOVED:
+		carob_upstream_table_remove(upstreams, change->upstream_id,
+					    change->revision,
+					    state_when_missing(catalog),
+					    now_ns(catalog));
+		break;
+	case CAROB_CATALOG_CONFIG:
+		error = apply_config(catalog, &change->config,
+				     change->revision);
+		break;
+	case CAROB_CATALOG_CONFIG_UNUSABLE:
+		apply_unusable(catalog, change);
+		break;
+	case CAROB_CATALOG_OTHER:
+		break;
+	}
+	if (error == 0)
+		catalog->counters.changes++;
+}
+
+static void apply_all(carob_catalog_t *catalog,
+		      const carob_catalog_reply_t *reply)
+{
+	for (size_t i = 0; i < reply->count; i++)
+		apply(catalog, &reply->changes[i]);
+}
+
+static void note_answer(carob_catalog_t *catalog)
+{
+	uint64_t now = now_ns(catalog);
+
+	if (catalog->failures > 0) {
+		catalog->regained_ns = now;
+		(void)carob_timer_arm(catalog->options.kernel, &catalog->lapse,
+				      now + LAPSE_GRACE_NS);
+		CAROB_LOG(CAROB_EV_PLATFORM_REACHABLE,
+			  CAROB_FIELD_U64("failures", catalog->failures),
+			  CAROB_FIELD_U64("silent_ms",
+					  carob_catalog_age_ms(catalog)));
+	}
+	catalog->failures = 0;
+	catalog->answered_ns = now;
+}
+
+static void on_page(carob_catalog_t *catalog,
+		    const carob_catalog_reply_t *reply)
+{
+	if (catalog->page_after.len == 0)
+		catalog->page_revision = reply->revision;
+	apply_all(catalog, reply);
+	carob_buf_clear(&catalog->page_after);
+	if (reply->truncated && reply->last_key.len > 0 &&
+	    carob_buf_append(&catalog->page_after, reply->last_key.ptr,
+			     reply->last_key.len) == 0) {
+		read_page(catalog);
+		return;
+	}
+	carob_upstream_table_end_listing(catalog->options.upstreams,
+					 catalog->page_revision,
+					 state_when_missing(catalog),
+					 now_ns(catalog));
+	catalog->revision = catalog->page_revision;
+	catalog->listed = true;
+	CAROB_LOG(CAROB_EV_CATALOG_LISTED,
+		  CAROB_FIELD_U64("revision", catalog->revision),
+		  CAROB_FIELD_U64("upstreams",
+				  catalog->options.upstreams->count));
+	read_changes(catalog);
+}
+
+static void on_changes(carob_catalog_t *catalog,
+		       const carob_catalog_reply_t *reply, bool was_probe)
+{
+	apply_all(catalog, reply);
+	if (reply->revision > catalog->revision)
+		catalog->revision = reply->revision;
+	carob_upstream_table_forget_gone(catalog->options.upstreams,
+					 FORGET_GONE_NS, now_ns(catalog));
+	if (reply->count > 0 && !was_probe)
+		read_in(catalog, PAUSE_OF(catalog->options.apply_ms));
+	else
+		read_changes(catalog);
+}
+
+static void list_again(carob_catalog_t *catalog)
+{
+	carob_buf_clear(&catalog->page_after);
+	catalog->listed = false;
+	read_page(catalog);
+}
+
+static void on_failure(carob_catalog_t *catalog,
+		       const carob_catalog_reply_t *reply)
+{
+	uint64_t pause_ms;
+
+	catalog->counters.failed++;
+	catalog->failures++;
+	pause_ms = retry_pause_ms(catalog);
+	if (catalog->failures == 1)
+		CAROB_LOG(CAROB_EV_PLATFORM_UNREACHABLE,
+			  CAROB_FIELD_I64("result", reply->result),
+			  CAROB_FIELD_CSTR("error", carob_error_last()),
+			  CAROB_FIELD_U64("revision", catalog->revision),
+			  CAROB_FIELD_U64("retry_ms", pause_ms));
+	/* A page that failed is no reason to read those before it again, but
+	 * the platform may have been away for long: begin anew. */
+	carob_buf_clear(&catalog->page_after);
+	read_in(catalog, pause_ms);
+}
+
+static void on_done(carob_catalog_reader_t *reader,
+		    const carob_catalog_reply_t *reply)
+{
+	carob_catalog_t *catalog =
+		CAROB_CONTAINER_OF(reader, carob_catalog_t, reader);
+	catalog_read_t reading = catalog->reading;
+	bool was_probe = catalog->failures > 0;
+
+	catalog->reading = READ_NOTHING;
+	if (reply->result != 0 && reply->result != CAROB_ESTALE) {
+		on_failure(catalog, reply);
+		return;
+	}
+	note_answer(catalog);
+	if (reply->result == CAROB_ESTALE)
+		list_again(catalog);
+	else if (reading == READ_PAGE)
+		on_page(catalog, reply);
+	else
+		on_changes(catalog, reply, was_probe);
+}
+
+void carob_catalog_start(carob_catalog_t *catalog)
+{
+	list_again(catalog);
+}
+
+void carob_catalog_refresh(carob_catalog_t *catalog)
+{
+	carob_timer_cancel(catalog->options.kernel, &catalog->next);
+	if (catalog->reading != READ_NOTHING)
+		catalog->options.source->ops->cancel(catalog->options.source);
+	carob_buf_clear(&catalog->page_after);
+	if (catalog->listed)
+		read_changes(catalog);
+	else
+		read_page(catalog);
+}
+
+bool carob_catalog_complete(const carob_catalog_t *catalog)
+{
+	return catalog->options.routes->buckets && catalog->revision > 0;
+}
+
+uint64_t carob_catalog_age_ms(const carob_catalog_t *catalog)
+{
+	return (now_ns(catalog) - catalog->answered_ns) / CAROB_NS_PER_MS;
+}
+
+uint64_t carob_catalog_revision(const carob_catalog_t *catalog)
+{
+	return catalog->revision;
+}
+
+const carob_catalog_counters_t *
+carob_catalog_counters(const carob_catalog_t *catalog)
+{
+	return &catalog->counters;
+}
+
+int carob_catalog_new(carob_catalog_t **out,
+		      const carob_catalog_options_t *options)
+{
+	carob_catalog_t *catalog;
+
+	if (options->version != CAROB_CATALOG_OPTIONS_VERSION ||
+	    !options->kernel || !options->source || !options->routes ||
+	    !options->upstreams)
+		return carob_error_set(CAROB_EINVALID, "catalog options");
+	catalog = calloc(1, sizeof(*catalog));
+	if (!catalog)
+		return carob_error_set(CAROB_ENOMEM, "catalog");
+	catalog->reader.done = on_done;
+	catalog->options = *options;
+	catalog->next.fire = on_next;
+	catalog->lapse.fire = on_lapse;
+	catalog->answered_ns = carob_kernel_now_ns(options->kernel);
+	carob_rng_init(&catalog->rng, options->seed);
+	*out = catalog;
+	return 0;
+}
+
+void carob_catalog_free(carob_catalog_t *catalog)
+{
+	if (!catalog)
+		return;
+	carob_timer_cancel(catalog->options.kernel, &catalog->next);
+	carob_timer_cancel(catalog->options.kernel, &catalog->lapse);
+	if (catalog->reading != READ_NOTHING)
+		catalog->options.source->ops->cancel(catalog->options.source);
+	carob_buf_dispose(&catalog->page_after);
+	free(catalog);
+}
--- /dev/null
+++ b/src/flow/flow_table.c
@@ -0,0 +1,158 @@
+#include "carobtrail/flow_table.h"
+
+#include "carobtrail/errors.h"
+#include "carobtrail/rng.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FIRST_CAP 1024
+/* 42 MB: what a machine of the smallest class can spare for the cache */
+#define CAP_MAX (1024 * 1024)
+/* of 4 places, this many may be used before the table doubles */
+#define FILL_QUARTERS 3
+
+static uint64_t hash_of(uint32_t caller_ip, uint16_t caller_port,
+			uint32_t route_ip, uint16_t route_port)
+{
+	uint64_t ips = (uint64_t)caller_ip << 32 | route_ip;
+	uint64_t ports = (uint64_t)caller_port << 16 | route_port;
+
+	return carob_hash_u64(carob_hash_u64(ips) ^ ports);
+}
+
+uint64_t carob_flow_hash(const carob_flow_packet_t *packet)
+{
+	return hash_of(packet->caller.ip, packet->caller.port, packet->route.ip,
+		       packet->route.port);
+}
+
+static size_t home_of(const carob_flow_table_t *table, const carob_flow_t *flow)
+{
+	return (size_t)hash_of(flow->caller_ip, flow->caller_port,
+			       flow->route_ip, flow->route_port) &
+	       (table->cap - 1);
+}
+
+static bool is_of(const carob_flow_t *flow, const carob_flow_packet_t *packet)
+{
+	return flow->caller_ip == packet->caller.ip &&
+	       flow->caller_port == packet->caller.port &&
+	       flow->route_ip == packet->route.ip &&
+	       flow->route_port == packet->route.port;
+}
+
+carob_flow_t *carob_flow_table_find(const carob_flow_table_t *table,
+				    const carob_flow_packet_t *packet)
+{
+	size_t at;
+
+	if (table->cap == 0)
+		return NULL;
+	at = (size_t)carob_flow_hash(packet) & (table->cap - 1);
+	while (table->items[at].phase != CAROB_FLOW_FREE) {
+		if (is_of(&table->items[at], packet))
+			return &table->items[at];
+		at = (at + 1) & (table->cap - 1);
+	}
+	return NULL;
+}
+
+static carob_flow_t *free_place(const carob_flow_table_t *table, size_t at)
+{
+	while (table->items[at].phase != CAROB_FLOW_FREE)
+		at = (at + 1) & (table->cap - 1);
+	return &table->items[at];
+}
+
+static int grow(carob_flow_table_t *table)
+{
+	carob_flow_table_t next = {.cap = table->cap ? 2 * table->cap
+						     : FIRST_CAP};
+
+	if (next.cap > CAP_MAX)
+		return carob_error_set(CAROB_ELIMIT, "%zu flows", table->count);
+	next.items = calloc(next.cap, sizeof(*next.items));
+	if (!next.items)
+		return carob_error_set(CAROB_ENOMEM, "flow table");
+	for (size_t i = 0; i < table->cap; i++) {
+		const carob_flow_t *flow = &table->items[i];
+
+		if (flow->phase != CAROB_FLOW_FREE)
+			*free_place(&next, home_of(&next, flow)) = *flow;
+	}
+	next.count = table->count;
+	free(table->items);
+	*table = next;
+	return 0;
+}
+
+int carob_flow_table_add(carob_flow_t **out, carob_flow_table_t *table,
+			 const carob_flow_packet_t *packet)
+{
+	carob_flow_t *flow;
+	int error = 0;
+
+	if (4 * (table->count + 1) > FILL_QUARTERS * table->cap)
+		error = grow(table);
+	if (error)
+		return error;
+	flow = free_place(table,
+			  (size_t)carob_flow_hash(packet) & (table->cap - 1));
+	memset(flow, 0, sizeof(*flow));
+	flow->phase = CAROB_FLOW_OPENING;
+	flow->caller_ip = packet->caller.ip;
+	flow->caller_port = packet->caller.port;
+	flow->route_ip = packet->route.ip;
+	flow->route_port = packet->route.port;
+	flow->upstream = CAROB_UPSTREAM_NONE;
+	table->count++;
+	*out = flow;
+	return 0;
+}
+
+/* Moves later flows of the run back, so that no probe ends too early
+ * (Knuth, The Art of Computer Programming, vol. 3, 6.4, algorithm R). */
+void carob_flow_table_remove(carob_flow_table_t *table, carob_flow_t *flow)
+{
+	size_t mask = table->cap - 1;
+	size_t hole = (size_t)(flow - table->items);
+	size_t at = hole;
+
+	for (;;) {
+		at = (at + 1) & mask;
+		if (table->items[at].phase == CAROB_FLOW_FREE)
+			break;
+		if (((at - home_of(table, &table->items[at])) & mask) <
+		    ((at - hole) & mask))
+			continue;
+		table->items[hole] = table->items[at];
+		hole = at;
+	}
+	table->items[hole].phase = CAROB_FLOW_FREE;
+	table->count--;
+}
+
+void carob_flow_table_sweep(carob_flow_table_t *table, size_t places,
+			    carob_flow_visitor_t *visitor)
+{
+	if (places > table->cap)
+		places = table->cap;
+	for (size_t i = 0; i < places; i++) {
+		carob_flow_t *flow;
+
+		table->sweep_at &= table->cap - 1;
+		flow = &table->items[table->sweep_at];
+		if (flow->phase != CAROB_FLOW_FREE &&
+		    visitor->visit(visitor, flow))
+			carob_flow_table_remove(table, flow);
+		else
+			table->sweep_at++;
+	}
+}
+
+void carob_flow_table_dispose(carob_flow_table_t *table)
+{
+	free(table->items);
+	memset(table, 0, sizeof(*table));
+}
--- /dev/null
+++ b/src/flow/placement.c
@@ -0,0 +1,140 @@
+#include "carobtrail/placement.h"
+
+#include "carobtrail/log.h"
+#include "carobtrail/rng.h"
+
+/* An idle flow's share of a request in progress. */
+#define IDLE_FLOW_WEIGHT 0.1
+/* How much lower, in requests a slot, the load in another zone has to be. */
+#define OTHER_ZONE_MARGIN 0.5
+/* Slots that a cold upstream counts with, as a part of its own. */
+#define COLD_FACTOR 0.6
+/* One lost SYN is no sign; the second in a row is. */
+#define FAILURES_TO_AVOID 2
+/* How long a silent upstream is passed over, for each failure. */
+#define AVOID_NS     (500 * CAROB_NS_PER_MS)
+#define AVOID_NS_MAX (4 * CAROB_NS_PER_S)
+
+/* Preference classes, best first. */
+typedef enum candidate_class {
+	CANDIDATE_GOOD,
+	CANDIDATE_LAPSED,
+	CANDIDATE_SILENT,
+	CANDIDATE_EXCEPTED,
+	CANDIDATE_UNUSABLE,
+} candidate_class_t;
+
+typedef struct candidate {
+	candidate_class_t class;
+	double cost;
+	uint64_t spread;
+} candidate_t;
+
+/* A silent upstream gets one flow at a time to show that it is back. */
+static bool is_silent(const carob_upstream_t *upstream, uint64_t now_ns)
+{
+	if (upstream->failures < FAILURES_TO_AVOID)
+		return false;
+	return now_ns < upstream->avoid_until_ns || upstream->pending > 0;
+}
+
+static candidate_class_t class_of(const carob_upstream_t *upstream,
+				  carob_upstream_index_t index,
+				  const carob_placement_query_t *query)
+{
+	if (!carob_upstream_accepts(upstream) ||
+	    upstream->service != query->service)
+		return CANDIDATE_UNUSABLE;
+	if (index == query->except)
+		return CANDIDATE_EXCEPTED;
+	if (is_silent(upstream, query->now_ns))
+		return CANDIDATE_SILENT;
+	if (upstream->state == CAROB_UPSTREAM_LAPSED)
+		return CANDIDATE_LAPSED;
+	return CANDIDATE_GOOD;
+}
+
+static double cost_of(const carob_upstream_t *upstream,
+		      const carob_placement_query_t *query)
+{
+	double slots = upstream->slots;
+	uint32_t idle = upstream->open_flows > upstream->pending
+				? upstream->open_flows - upstream->pending
+				: 0;
+	double load = upstream->pending + IDLE_FLOW_WEIGHT * idle;
+	double margin = upstream->zone == query->home_zone ? 0
+							   : OTHER_ZONE_MARGIN;
+
+	if (query->now_ns < upstream->cold_until_ns)
+		slots *= COLD_FACTOR;
+	return load / slots + margin;
+}
+
+static bool is_better(const candidate_t *a, const candidate_t *b)
+{
+	if (a->class != b->class)
+		return a->class < b->class;
+	if (a->cost != b->cost)
+		return a->cost < b->cost;
+	return a->spread > b->spread;
+}
+
+carob_upstream_index_t
+carob_placement_choose(const carob_upstream_table_t *table,
+		       const carob_placement_query_t *query)
+{
+	carob_upstream_index_t best_index = CAROB_UPSTREAM_NONE;
+	candidate_t best = {.class = CANDIDATE_UNUSABLE};
+
+	for (size_t i = 0; i < table->count; i++) {
+		const carob_upstream_t *upstream = &table->items[i];
+		carob_upstream_index_t index = (carob_upstream_index_t)i;
+		candidate_t candidate = {
+			.class = class_of(upstream, index, query)};
+
+		if (candidate.class == CANDIDATE_UNUSABLE)
+			continue;
+		candidate.cost = cost_of(upstream, query);
+		candidate.spread =
+			carob_hash_u64(query->flow_hash ^ upstream->number);
+		if (best_index == CAROB_UPSTREAM_NONE ||
+		    is_better(&candidate, &best)) {
+			best = candidate;
+			best_index = index;
+		}
+	}
+	return best_index;
+}
+
+void carob_placement_note_failure(carob_upstream_table_t *table,
+				  carob_upstream_index_t index, uint64_t now_ns)
+{
+	carob_upstream_t *upstream = &table->items[index];
+	uint64_t avoid_ns;
+
+	upstream->failures++;
+	if (upstream->failures < FAILURES_TO_AVOID)
+		return;
+	avoid_ns = upstream->failures * AVOID_NS;
+	if (avoid_ns > AVOID_NS_MAX)
+		avoid_ns = AVOID_NS_MAX;
+	upstream->avoid_until_ns = now_ns + avoid_ns;
+	if (upstream->failures == FAILURES_TO_AVOID)
+		CAROB_LOG(CAROB_EV_UPSTREAM_AVOIDED,
+			  CAROB_FIELD_CSTR("upstream", upstream->id),
+			  CAROB_FIELD_U64("failures", upstream->failures),
+			  CAROB_FIELD_U64("pending", upstream->pending));
+}
+
+void carob_placement_note_success(carob_upstream_table_t *table,
+				  carob_upstream_index_t index)
+{
+	carob_upstream_t *upstream = &table->items[index];
+
+	if (upstream->failures >= FAILURES_TO_AVOID)
+		CAROB_LOG(CAROB_EV_UPSTREAM_ANSWERS,
+			  CAROB_FIELD_CSTR("upstream", upstream->id),
+			  CAROB_FIELD_U64("failures", upstream->failures));
+	upstream->failures = 0;
+	upstream->avoid_until_ns = 0;
+}
--- /dev/null
+++ b/src/flow/route_table.c
@@ -0,0 +1,155 @@
+#include "carobtrail/route_table.h"
+
+#include "carobtrail/errors.h"
+#include "carobtrail/rng.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define BUCKETS_PER_ROUTE 2
+#define BUCKETS_MIN	  16
+
+static size_t bucket_of(carob_endpoint_t endpoint, size_t bucket_count)
+{
+	uint64_t key = (uint64_t)endpoint.ip << 16 | endpoint.port;
+
+	return (size_t)carob_hash_u64(key) & (bucket_count - 1);
+}
+
+static void fill_buckets(carob_route_table_t *table)
+{
+	const carob_route_config_t *config = &table->config;
+
+	for (size_t i = 0; i < config->count; i++) {
+		size_t at = bucket_of(config->routes[i].endpoint,
+				      table->bucket_count);
+
+		while (table->buckets[at])
+			at = (at + 1) & (table->bucket_count - 1);
+		table->buckets[at] = (uint32_t)i + 1;
+	}
+}
+
+static bool is_dropped(const carob_route_table_t *table,
+		       carob_endpoint_t endpoint)
+{
+	for (size_t i = 0; i < table->dropped_count; i++)
+		if (carob_endpoint_eq(table->dropped[i], endpoint))
+			return true;
+	return false;
+}
+
+/* Remembers the routes that `before` had and the table has no longer. */
+static int note_dropped(carob_route_table_t *table,
+			const carob_route_table_t *before)
+{
+	size_t most = before->dropped_count + before->config.count;
+	const carob_route_t *route;
+
+	table->dropped = calloc(most ? most : 1, sizeof(*table->dropped));
+	if (!table->dropped)
+		return carob_error_set(CAROB_ENOMEM, "dropped routes");
+	for (size_t i = 0; i < most; i++) {
+		carob_endpoint_t endpoint =
+			i < before->dropped_count
+				? before->dropped[i]
+				: before->config
+					  .routes[i - before->dropped_count]
+					  .endpoint;
+
+		if (carob_route_table_find(&route, table, endpoint) ==
+		    CAROB_ROUTE_UNKNOWN)
+			table->dropped[table->dropped_count++] = endpoint;
+	}
+	return 0;
+}
+
+static int build(carob_route_table_t *table, const carob_route_config_t *config,
+		 const carob_route_table_t *before)
+{
+	table->bucket_count = BUCKETS_MIN;
+	while (table->bucket_count < BUCKETS_PER_ROUTE * config->count)
+		table->bucket_count *= 2;
+	table->buckets = calloc(table->bucket_count, sizeof(*table->buckets));
+	table->config = *config;
+	table->config.routes = calloc(config->count ? config->count : 1,
+				      sizeof(*config->routes));
+	if (!table->buckets || !table->config.routes)
+		return carob_error_set(CAROB_ENOMEM, "route table");
+	if (config->count)
+		memcpy(table->config.routes, config->routes,
+		       config->count * sizeof(*config->routes));
+	fill_buckets(table);
+	return note_dropped(table, before);
+}
+
+int carob_route_table_apply(carob_route_table_t *table,
+			    const carob_route_config_t *config)
+{
+	carob_route_table_t next = {0};
+	int error;
+
+	if (table->buckets && config->version <= table->config.version)
+		return carob_error_set(
+			CAROB_ESTALE, "configuration %llu: %llu is in force",
+			(unsigned long long)config->version,
+			(unsigned long long)table->config.version);
+	error = build(&next, config, table);
+	if (error) {
+		carob_route_table_dispose(&next);
+		return error;
+	}
+	carob_route_table_dispose(table);
+	*table = next;
+	return 0;
+}
+
+carob_route_status_t carob_route_table_find(const carob_route_t **out,
+					    const carob_route_table_t *table,
+					    carob_endpoint_t endpoint)
+{
+	size_t at;
+
+	if (!table->buckets)
+		return CAROB_ROUTE_UNKNOWN;
+	at = bucket_of(endpoint, table->bucket_count);
+	while (table->buckets[at]) {
+		const carob_route_t *route =
+			&table->config.routes[table->buckets[at] - 1];
+
+		if (carob_endpoint_eq(route->endpoint, endpoint)) {
+			*out = route;
+			return CAROB_ROUTE_FOUND;
+		}
+		at = (at + 1) & (table->bucket_count - 1);
+	}
+	return is_dropped(table, endpoint) ? CAROB_ROUTE_DROPPED
+					   : CAROB_ROUTE_UNKNOWN;
+}
+
+carob_name_id_t carob_route_service(const carob_route_t *route,
+				    uint64_t flow_hash)
+{
+	uint64_t total = 0;
+	uint64_t point;
+
+	for (size_t i = 0; i < route->share_count; i++)
+		total += route->shares[i].weight;
+	if (total == 0)
+		return CAROB_NAME_NONE;
+	point = flow_hash % total;
+	for (size_t i = 0; i < route->share_count; i++) {
+		if (point < route->shares[i].weight)
+			return route->shares[i].service;
+		point -= route->shares[i].weight;
+	}
+	return CAROB_NAME_NONE;
+}
+
+void carob_route_table_dispose(carob_route_table_t *table)
+{
+	free(table->config.routes);
+	free(table->buckets);
+	free(table->dropped);
+	memset(table, 0, sizeof(*table));
+}
--- /dev/null
+++ b/src/flowd/main.c
@@ -0,0 +1,266 @@
+/* carob-flowd: an instance that steers flows by their packets. */
+#include "carobtrail/catalog.h"
+#include "carobtrail/errors.h"
+#include "carobtrail/log.h"
+#include "carobtrail/rng.h"
+#include "front.h"
+#include "http.h"
+#include "metrics.h"
+#include "net/program.h"
+#include "platform/store.h"
+#include "settings.h"
+
+#include <string.h>
+#include <time.h>
+
+/* The sweep, and the look whether the process was paused. */
+#define TICK_NS (500 * CAROB_NS_PER_MS)
+/* A tick that comes later than this followed a pause. */
+#define PAUSE_NS (500 * CAROB_NS_PER_MS)
+/* From the stop signal on, routers need this long to turn away: two missed
+ * checks at two a second, and packets under way. */
+#define LEAVE_MS_MIN 2000
+/* Left of the grace time for the end itself. */
+#define LEAVE_MARGIN_MS 1000
+/* No packet for so long: the routers have turned away. */
+#define QUIET_NS (CAROB_NS_PER_S)
+
+typedef struct flowd {
+	carob_program_t program;
+	flowd_settings_t settings;
+	carob_route_table_t routes;
+	carob_upstream_table_t upstreams;
+	carob_steering_t *steering;
+	platform_store_t *store;
+	carob_catalog_t *catalog;
+	flowd_front_t *front;
+	flowd_http_t *readiness;
+	flowd_http_t *metrics;
+	flowd_http_handler_t readiness_handler;
+	flowd_http_handler_t metrics_handler;
+	carob_timer_t tick;
+	uint64_t suspended_ns; /* total time in suspension, by the clocks */
+	bool ready;	       /* as last answered */
+	bool leaving;
+	uint64_t leave_ns;	 /* when the stop signal came */
+	uint64_t last_packets;	 /* count at the last tick */
+	uint64_t last_packet_ns; /* when the count last rose */
+} flowd_t;
+
+static uint64_t read_clock(clockid_t id)
+{
+	struct timespec now;
+
+	if (clock_gettime(id, &now) != 0)
+		return 0;
+	return (uint64_t)now.tv_sec * CAROB_NS_PER_S + (uint64_t)now.tv_nsec;
+}
+
+/* Only the boot-time clock counts a suspension. */
+static uint64_t suspended_ns(void)
+{
+	return read_clock(CLOCK_BOOTTIME) - read_clock(CLOCK_MONOTONIC);
+}
+
+static int answer_readiness(flowd_http_handler_t *handler, carob_buf_t *body)
+{
+	flowd_t *self = CAROB_CONTAINER_OF(handler, flowd_t, readiness_handler);
+	bool ready = !self->leaving && carob_catalog_complete(self->catalog);
+
+	(void)body;
+	if (ready != self->ready)
+		CAROB_LOG(CAROB_EV_READINESS, CAROB_FIELD_U64("ready", ready),
+			  CAROB_FIELD_U64("leaving", self->leaving),
+			  CAROB_FIELD_U64("revision", carob_catalog_revision(
+							      self->catalog)));
+	self->ready = ready;
+	return ready ? 200 : 503;
+}
+
+static int answer_metrics(flowd_http_handler_t *handler, carob_buf_t *body)
+{
+	flowd_t *self = CAROB_CONTAINER_OF(handler, flowd_t, metrics_handler);
+	flowd_metrics_source_t source = {
+		.steering = self->steering,
+		.catalog = self->catalog,
+		.upstreams = &self->upstreams,
+		.routes = &self->routes,
+		.front = self->front,
+		.hub = self->program.hub,
+	};
+
+	return flowd_metrics_write(body, &source) == 0 ? 200 : 503;
+}
+
+/* After a pause all beliefs are old. */
+static void notice_pause(flowd_t *self, uint64_t now_ns)
+{
+	uint64_t suspended = suspended_ns();
+	uint64_t late = now_ns - self->tick.due_ns;
+	uint64_t slept = suspended - self->suspended_ns;
+
+	self->suspended_ns = suspended;
+	if (slept > INT64_MAX) /* the clocks are read one after the other */
+		slept = 0;
+	if (late < PAUSE_NS && slept < PAUSE_NS)
+		return;
+	CAROB_LOG(CAROB_EV_PAUSE_NOTICED,
+		  CAROB_FIELD_U64("late_ms", late / CAROB_NS_PER_MS),
+		  CAROB_FIELD_U64("suspended_ms", slept / CAROB_NS_PER_MS));
+	carob_catalog_refresh(self->catalog);
+}
+
+static void leave_if_quiet(flowd_t *self, uint64_t now_ns)
+{
+	uint64_t packets = flowd_front_counters(self->front)->packets;
+	uint64_t left_ms = (now_ns - self->leave_ns) / CAROB_NS_PER_MS;
+	uint64_t most_ms =
+		self->settings.stop_grace_ms > LEAVE_MARGIN_MS
+			? self->settings.stop_grace_ms - LEAVE_MARGIN_MS
+			: 0;
+
+	if (packets != self->last_packets)
+		self->last_packet_ns = now_ns;
+	self->last_packets = packets;
+	if (!self->leaving)
+		return;
+	if (left_ms >= most_ms || (left_ms >= LEAVE_MS_MIN &&
+				   now_ns - self->last_packet_ns >= QUIET_NS))
+		carob_loop_stop(self->program.loop);
+}
+
+static void on_tick(carob_timer_t *timer)
+{
+	flowd_t *self = CAROB_CONTAINER_OF(timer, flowd_t, tick);
+	uint64_t now = carob_kernel_now_ns(self->program.kernel);
+
+	notice_pause(self, now);
+	carob_steering_sweep(self->steering);
+	leave_if_quiet(self, now);
+	(void)carob_timer_arm(self->program.kernel, &self->tick, now + TICK_NS);
+}
+
+static void on_signal(carob_program_t *program, int count)
+{
+	flowd_t *self = (flowd_t *)program;
+
+	if (count > 1) {
+		carob_loop_stop(program->loop);
+		return;
+	}
+	self->leaving = true;
+	self->leave_ns = carob_kernel_now_ns(program->kernel);
+	CAROB_LOG(CAROB_EV_DRAINING,
+		  CAROB_FIELD_U64("flows",
+				  carob_steering_flow_count(self->steering)));
+}
+
+static int start_steering(flowd_t *self)
+{
+	carob_steering_options_t options = CAROB_STEERING_OPTIONS_INIT;
+
+	options.clock = carob_kernel_clock(self->program.kernel);
+	options.routes = &self->routes;
+	options.upstreams = &self->upstreams;
+	options.home_zone = carob_str_from(self->settings.zone.name);
+	return carob_steering_new(&self->steering, &options);
+}
+
+static int start_catalog(flowd_t *self)
+{
+	carob_catalog_options_t options = CAROB_CATALOG_OPTIONS_INIT;
+	int error;
+
+	error = platform_store_new(&self->store, self->program.kernel,
+				   carob_loop_base(self->program.loop),
+				   &self->settings.store);
+	if (error)
+		return error;
+	options.kernel = self->program.kernel;
+	options.source = platform_store_source(self->store);
+	options.routes = &self->routes;
+	options.upstreams = &self->upstreams;
+	options.contact_ms = self->settings.contact_ms;
+	options.apply_ms = self->settings.apply_ms;
+	options.seed = carob_addr_hash(0, &self->settings.packets);
+	return carob_catalog_new(&self->catalog, &options);
+}
+
+static int start_servers(flowd_t *self)
+{
+	struct event_base *base = carob_loop_base(self->program.loop);
+	int error;
+
+	error = flowd_front_new(&self->front, self->program.hub,
+				&self->settings.packets, self->steering,
+				self->catalog,
+				carob_kernel_clock(self->program.kernel));
+	self->readiness_handler.path = "/v1/ready";
+	self->readiness_handler.answer = answer_readiness;
+	if (!error)
+		error = flowd_http_new(&self->readiness, base,
+				       &self->settings.readiness,
+				       &self->readiness_handler);
+	self->metrics_handler.path = "/metrics";
+	self->metrics_handler.answer = answer_metrics;
+	if (!error && self->settings.metrics.family)
+		error = flowd_http_new(&self->metrics, base,
+				       &self->settings.metrics,
+				       &self->metrics_handler);
+	return error;
+}
+
+static int start(flowd_t *self)
+{
+	int error = start_steering(self);
+
+	if (!error)
+		error = start_catalog(self);
+	if (!error)
+		error = start_servers(self);
+	if (error)
+		return carob_program_fail(&self->program, error);
+	self->suspended_ns = suspended_ns();
+	self->tick.fire = on_tick;
+	(void)carob_timer_arm(self->program.kernel, &self->tick,
+			      carob_kernel_now_ns(self->program.kernel) +
+				      TICK_NS);
+	carob_catalog_start(self->catalog);
+	return 0;
+}
+
+static void dispose(flowd_t *self)
+{
+	flowd_http_free(self->metrics);
+	flowd_http_free(self->readiness);
+	flowd_front_free(self->front);
+	carob_catalog_free(self->catalog);
+	platform_store_free(self->store);
+	carob_steering_free(self->steering);
+	carob_route_table_dispose(&self->routes);
+	carob_upstream_table_dispose(&self->upstreams);
+	carob_program_dispose(&self->program);
+}
+
+int main(int argc, const char **argv)
+{
+	static flowd_t self = {.program.name = "carob-flowd",
+			       .program.on_signal = on_signal};
+	int error;
+
+	error = carob_program_init(&self.program, argc, argv);
+	if (!error) {
+		carob_json_node_t root =
+			carob_json_doc_root(self.program.settings);
+
+		error = flowd_settings_read(&self.settings, &root);
+		if (error)
+			carob_program_refuse_settings(&self.program, error);
+	}
+	if (!error)
+		error = start(&self);
+	if (!error)
+		carob_program_run(&self.program);
+	dispose(&self);
+	return self.program.exit_status;
+}
--- /dev/null
+++ b/src/flowd/metrics.c
@@ -0,0 +1,126 @@
+#include "metrics.h"
+
+#include <inttypes.h>
+
+typedef struct metric {
+	const char *name;
+	uint64_t value;
+} metric_t;
+
+static int write_all(carob_buf_t *out, const metric_t *metrics, size_t count)
+{
+	int error = 0;
+
+	for (size_t i = 0; !error && i < count; i++)
+		error = carob_buf_printf(out, "carob_%s %" PRIu64 "\n",
+					 metrics[i].name, metrics[i].value);
+	return error;
+}
+
+static int write_histogram(carob_buf_t *out, const char *name,
+			   const carob_histogram_t *histogram)
+{
+	static const double quantiles[] = {0.5, 0.9, 0.99, 1.0};
+	int error;
+
+	error = carob_buf_printf(out, "carob_%s_count %" PRIu64 "\n", name,
+				 histogram->count);
+	for (size_t i = 0; !error && i < CAROB_ARRAY_SIZE(quantiles); i++)
+		error = carob_buf_printf(
+			out, "carob_%s{quantile=\"%g\"} %" PRIu64 "\n", name,
+			quantiles[i],
+			carob_histogram_quantile(histogram, quantiles[i]));
+	return error;
+}
+
+static int write_decisions(carob_buf_t *out,
+			   const carob_steering_counters_t *counters)
+{
+	int error = 0;
+
+	for (int i = 0; !error && i < CAROB_STEER_REASON_COUNT; i++)
+		error = carob_buf_printf(
+			out, "carob_packets{decision=\"%s\"} %" PRIu64 "\n",
+			carob_steer_reason_text((carob_steer_reason_t)i),
+			counters->reasons[i]);
+	return error;
+}
+
+static int write_upstreams(carob_buf_t *out,
+			   const carob_upstream_table_t *upstreams)
+{
+	uint64_t states[CAROB_UPSTREAM_GONE + 1] = {0};
+	int error = 0;
+
+	for (size_t i = 0; i < upstreams->count; i++)
+		if (upstreams->items[i].used)
+			states[upstreams->items[i].state]++;
+	for (int i = 0; !error && i <= CAROB_UPSTREAM_GONE; i++)
+		error = carob_buf_printf(
+			out, "carob_upstreams{state=\"%s\"} %" PRIu64 "\n",
+			carob_upstream_state_name((carob_upstream_state_t)i),
+			states[i]);
+	return error;
+}
+
+static int write_catalog(carob_buf_t *out, const flowd_metrics_source_t *source)
+{
+	const carob_catalog_counters_t *counters =
+		carob_catalog_counters(source->catalog);
+	const metric_t metrics[] = {
+		{"store_lists", counters->lists},
+		{"store_watches", counters->watches},
+		{"store_failed_calls", counters->failed},
+		{"store_changes", counters->changes},
+		{"store_unusable_items", counters->unusable},
+		{"store_revision", carob_catalog_revision(source->catalog)},
+		{"store_answer_age_ms", carob_catalog_age_ms(source->catalog)},
+		{"configuration_version", source->routes->config.version},
+		{"routes", source->routes->config.count},
+	};
+
+	return write_all(out, metrics, CAROB_ARRAY_SIZE(metrics));
+}
+
+static int write_front(carob_buf_t *out, const flowd_metrics_source_t *source)
+{
+	const carob_steering_counters_t *steering =
+		carob_steering_counters(source->steering);
+	const flowd_front_counters_t *front =
+		flowd_front_counters(source->front);
+	const carob_udp_counters_t *udp = carob_udp_hub_counters(source->hub);
+	const metric_t metrics[] = {
+		{"packets_received", front->packets},
+		{"packets_malformed", front->malformed},
+		{"packets_stale", front->stale},
+		{"packets_sent", udp->sent},
+		{"packets_send_failed", udp->send_failed},
+		{"packets_repeated_data", steering->repeated_data},
+		{"flows", carob_steering_flow_count(source->steering)},
+		{"flows_not_remembered", steering->not_remembered},
+		{"log_decisions_skipped", front->unlogged},
+	};
+
+	return write_all(out, metrics, CAROB_ARRAY_SIZE(metrics));
+}
+
+int flowd_metrics_write(carob_buf_t *out, const flowd_metrics_source_t *source)
+{
+	const carob_steering_counters_t *steering =
+		carob_steering_counters(source->steering);
+	int error;
+
+	error = write_front(out, source);
+	if (!error)
+		error = write_decisions(out, steering);
+	if (!error)
+		error = write_histogram(out, "connect_ms",
+					&steering->connect_ms);
+	if (!error)
+		error = write_histogram(out, "answer_ms", &steering->answer_ms);
+	if (!error)
+		error = write_catalog(out, source);
+	if (!error)
+		error = write_upstreams(out, source->upstreams);
+	return error;
+}
--- /dev/null
+++ b/src/flowd/metrics.h
@@ -0,0 +1,25 @@
+/**
+ * @file metrics.h
+ * Counters and latency histograms as text, one metric a line.
+ */
+#ifndef CAROB_FLOWD_METRICS_H
+#define CAROB_FLOWD_METRICS_H
+
+#include "carobtrail/catalog.h"
+#include "carobtrail/steering.h"
+#include "front.h"
+
+/** Where the figures come from. */
+typedef struct flowd_metrics_source {
+	const carob_steering_t *steering;
+	const carob_catalog_t *catalog;
+	const carob_upstream_table_t *upstreams;
+	const carob_route_table_t *routes;
+	const flowd_front_t *front;
+	const carob_udp_hub_t *hub;
+} flowd_metrics_source_t;
+
+/** Appends all metrics. @return 0 or CAROB_ENOMEM */
+int flowd_metrics_write(carob_buf_t *out, const flowd_metrics_source_t *source);
+
+#endif
--- /dev/null
+++ b/src/flowd/settings.c
@@ -0,0 +1,95 @@
+#include "settings.h"
+
+#include <string.h>
+
+#define INSTANCE_MAX 63
+/* Bounds of the platform's smallest deployments. */
+#define CONTACT_MS_DEFAULT   4000
+#define APPLY_MS_DEFAULT     3000
+#define STOP_GRACE_S_DEFAULT 6
+#define SPAN_MS_MIN	     100
+#define SPAN_MS_MAX	     3600000
+#define STOP_GRACE_S_MAX     3600
+#define MS_PER_S	     1000
+
+static const char *const keys[] = {
+	"instance", "zone",	    "packets",	   "readiness",
+	"metrics",  "store",	    "first_start", "contact_ms",
+	"apply_ms", "stop_grace_s", "log_level",
+};
+
+static int read_identity(flowd_settings_t *out, const carob_json_node_t *root)
+{
+	carob_json_node_t node;
+	int error;
+
+	error = carob_json_get_str(&out->instance, root, "instance", 1,
+				   INSTANCE_MAX);
+	if (!error)
+		error = carob_json_get(&node, root, "zone");
+	if (!error)
+		error = carob_json_zone(&out->zone, &node);
+	return error;
+}
+
+static int read_addresses(flowd_settings_t *out, const carob_json_node_t *root)
+{
+	carob_json_node_t node;
+	int error;
+
+	error = carob_json_get_addr(&out->packets, root, "packets");
+	if (!error)
+		error = carob_json_get_addr(&out->readiness, root, "readiness");
+	if (!error)
+		error = carob_json_get_addr(&out->store, root, "store");
+	if (!error && carob_json_find(&node, root, "metrics"))
+		error = carob_json_addr(&out->metrics, &node);
+	return error;
+}
+
+static int read_span(uint32_t *out, const carob_json_node_t *root,
+		     const char *key, uint64_t fallback)
+{
+	uint64_t value;
+	int error = carob_json_get_u64_or(&value, root, key, SPAN_MS_MIN,
+					  SPAN_MS_MAX, fallback);
+
+	*out = (uint32_t)value;
+	return error;
+}
+
+static int read_spans(flowd_settings_t *out, const carob_json_node_t *root)
+{
+	uint64_t grace_s = STOP_GRACE_S_DEFAULT;
+	int error;
+
+	error = read_span(&out->contact_ms, root, "contact_ms",
+			  CONTACT_MS_DEFAULT);
+	if (!error)
+		error = read_span(&out->apply_ms, root, "apply_ms",
+				  APPLY_MS_DEFAULT);
+	if (!error)
+		error = carob_json_get_u64_or(&grace_s, root, "stop_grace_s", 1,
+					      STOP_GRACE_S_MAX,
+					      STOP_GRACE_S_DEFAULT);
+	out->stop_grace_ms = (uint32_t)grace_s * MS_PER_S;
+	return error;
+}
+
+int flowd_settings_read(flowd_settings_t *out, const carob_json_node_t *root)
+{
+	int error;
+
+	memset(out, 0, sizeof(*out));
+	error = carob_json_object(root, keys, CAROB_ARRAY_SIZE(keys));
+	if (!error)
+		error = read_identity(out, root);
+	if (!error)
+		error = read_addresses(out, root);
+	if (!error)
+		error = read_spans(out, root);
+	if (!error)
+		error = carob_json_get_bool_or(&out->first_start, root,
+					       "first_start", false);
+	return error;
+}
--- /dev/null
+++ b/src/flowd/settings.h
@@ -0,0 +1,28 @@
+/**
+ * @file settings.h
+ * Settings of carob-flowd; docs/operations/settings.md describes them.
+ */
+#ifndef CAROB_FLOWD_SETTINGS_H
+#define CAROB_FLOWD_SETTINGS_H
+
+#include "carobtrail/ids.h"
+#include "util/json_doc.h"
+
+/** All settings of one instance; strings borrow from the document. */
+typedef struct flowd_settings {
+	carob_str_t instance;
+	carob_zone_t zone;
+	carob_addr_t packets;	/* UDP: packets of callers */
+	carob_addr_t readiness; /* HTTP: whether packets are welcome */
+	carob_addr_t metrics;	/* HTTP; family 0: none */
+	carob_addr_t store;
+	bool first_start; /* of the whole deployment */
+	uint32_t contact_ms;
+	uint32_t apply_ms;
+	uint32_t stop_grace_ms; /* from SIGTERM to SIGKILL */
+} flowd_settings_t;
+
+/** Reads and checks the settings. @return 0 or a negative code */
+int flowd_settings_read(flowd_settings_t *out, const carob_json_node_t *root);
+
+#endif
