platform: configurations of one answer keep their routes

Ruled out: the HTTP client (no call was in progress) and the stop (no signal). The test fails first under AddressSanitizer.

--- /dev/null
+++ b/tests/platform/items_test.c
@@ -0,0 +1,244 @@
+#include "platform/items.h"
+
+#include "carobtrail/errors.h"
+#include "test_runner.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#define BODY_BYTES 8192
+
+/* Appends {"key":KEY,"value":base64(JSON),"revision":REVISION}. */
+static void append_item(carob_buf_t *body, const char *key, const char *json,
+			int revision)
+{
+	char value[BODY_BYTES];
+
+	sodium_bin2base64(value, sizeof(value), (const uint8_t *)json,
+			  strlen(json), sodium_base64_VARIANT_ORIGINAL);
+	CU_ASSERT_EQUAL(carob_buf_printf(body,
+					 "%s{\"key\":\"%s\",\"value\":\"%s\","
+					 "\"revision\":%d}",
+					 body->ptr[body->len - 1] == '}' ? ","
+									 : "",
+					 key, value, revision),
+			0);
+}
+
+static void begin_events(carob_buf_t *body)
+{
+	CU_ASSERT_EQUAL(carob_buf_printf(body, "{\"events\":["), 0);
+}
+
+static const carob_catalog_reply_t *decode(platform_items_t **out,
+					   carob_buf_t *body)
+{
+	CU_ASSERT_EQUAL(carob_buf_printf(body, "],\"current_rev\":99}"), 0);
+	if (platform_items_decode(out, carob_buf_view(body)) != 0)
+		return NULL;
+	return platform_items_reply(*out);
+}
+
+#define ENTRY                                                                  \
+	"{\"service\":\"desk\",\"address\":\"10.128.0.9:8080\","               \
+	"\"zone\":\"hou-a\",\"version\":\"v1\",\"slots\":3,"                   \
+	"\"state\":\"ready\",\"cold_ms\":40,\"seq\":4,\"born\":1700000000123}"
+
+static void test_upstream_entry(void)
+{
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t body = CAROB_BUF_INIT;
+	platform_items_t *items = NULL;
+	const carob_catalog_reply_t *reply;
+
+	begin_events(&body);
+	append_item(&body, "servers/i-7f3a91c2ff", ENTRY, 7);
+	reply = decode(&items, &body);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(reply);
+	CU_ASSERT_EQUAL(reply->revision, 99);
+	CU_ASSERT_EQUAL(reply->count, 1);
+	CU_ASSERT_EQUAL(reply->changes[0].kind, CAROB_CATALOG_UPSTREAM);
+	CU_ASSERT_EQUAL(reply->changes[0].revision, 7);
+	CU_ASSERT_EQUAL(reply->changes[0].upstream.number, 0x7f3a91c2ffULL);
+	CU_ASSERT_EQUAL(reply->changes[0].upstream.endpoint.ip, 0x0a800009);
+	CU_ASSERT_EQUAL(reply->changes[0].upstream.endpoint.port, 8080);
+	CU_ASSERT_EQUAL(reply->changes[0].upstream.slots, 3);
+	CU_ASSERT_EQUAL(reply->changes[0].upstream.cold_ms, 40);
+	CU_ASSERT_EQUAL(reply->changes[0].upstream.started_ms, 1700000000123);
+	CU_ASSERT_FALSE(reply->changes[0].upstream.draining);
+	platform_items_free(items);
+}
+
+/* Each names nothing to use, and leaves the entry behind it intact. */
+static void test_unusable_entries(void)
+{
+	static const char *const bad[] = {
+		"",
+		"not json",
+		"[]",
+		"17",
+		"{}",
+		"{\"service\":7,\"address\":\"10.1.0.9:1\",\"zone\":\"a\","
+		"\"version\":\"v\",\"slots\":3,\"state\":\"ready\","
+		"\"cold_ms\":0,\"seq\":1}",
+		"{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"a\","
+		"\"version\":\"v\",\"slots\":3,\"state\":\"ready\","
+		"\"cold_ms\":0,\"seq\":1}",
+		"{\"service\":\"s\",\"address\":\"10.1.0.9:1\",\"zone\":\"a\","
+		"\"version\":\"v\",\"slots\":3,\"state\":\"asleep\","
+		"\"cold_ms\":0,\"seq\":1}",
+		"{\"service\":\"s\",\"address\":\"10.1.0.9:1\",\"zone\":\"a\","
+		"\"version\":\"v\",\"slots\":\"3\",\"state\":\"ready\","
+		"\"cold_ms\":0,\"seq\":1}",
+		"{\"service\":\"s\",\"address\":\"10.1.0.9:1\",\"zone\":\"a\","
+		"\"version\":\"v\",\"slots\":-3,\"state\":\"ready\","
+		"\"cold_ms\":0,\"seq\":1}",
+		"{\"service\":\"s\",\"address\":\"10.1.0.9:1\",\"zone\":\"a\","
+		"\"version\":\"v\",\"slots\":3,\"state\":\"ready\","
+		"\"cold_ms\":0,\"seq\":1,\"born\":1.5}",
+		"{\"service\":\"s\",\"address\":\"10.1.0.9:1\","
+		"\"version\":\"v\",\"slots\":3,\"state\":\"ready\","
+		"\"cold_ms\":0,\"seq\":1}",
+	};
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(bad); i++) {
+		CAROB_CLEANUP(carob_buf_dispose)
+		carob_buf_t body = CAROB_BUF_INIT;
+		platform_items_t *items = NULL;
+		const carob_catalog_reply_t *reply;
+
+		begin_events(&body);
+		append_item(&body, "servers/i-01", bad[i], 5);
+		append_item(&body, "servers/i-02", ENTRY, 6);
+		reply = decode(&items, &body);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(reply);
+		CU_ASSERT_EQUAL(reply->changes[0].kind,
+				CAROB_CATALOG_UPSTREAM_UNUSABLE);
+		CU_ASSERT_EQUAL(reply->changes[1].kind, CAROB_CATALOG_UPSTREAM);
+		platform_items_free(items);
+	}
+}
+
+static void test_ids(void)
+{
+	static const struct {
+		const char *key;
+		carob_catalog_change_kind_t kind;
+		uint64_t number;
+	} cases[] = {
+		{"servers/i-0A", CAROB_CATALOG_UPSTREAM, 10},
+		{"servers/7f", CAROB_CATALOG_UPSTREAM, 0x7f},
+		{"servers/be-7f", CAROB_CATALOG_UPSTREAM, 0x7f},
+		{"servers/i-", CAROB_CATALOG_UPSTREAM_UNUSABLE, 0},
+		{"servers/i-xyz", CAROB_CATALOG_UPSTREAM_UNUSABLE, 0},
+		{"servers/", CAROB_CATALOG_OTHER, 0},
+		{"my/leader", CAROB_CATALOG_OTHER, 0},
+	};
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(cases); i++) {
+		CAROB_CLEANUP(carob_buf_dispose)
+		carob_buf_t body = CAROB_BUF_INIT;
+		platform_items_t *items = NULL;
+		const carob_catalog_reply_t *reply;
+
+		begin_events(&body);
+		append_item(&body, cases[i].key, ENTRY, 5);
+		reply = decode(&items, &body);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(reply);
+		CU_ASSERT_EQUAL(reply->changes[0].kind, cases[i].kind);
+		if (cases[i].kind == CAROB_CATALOG_UPSTREAM)
+			CU_ASSERT_EQUAL(reply->changes[0].upstream.number,
+					cases[i].number);
+		platform_items_free(items);
+	}
+}
+
+static void test_removal(void)
+{
+	static const char body[] =
+		"{\"events\":[{\"key\":\"servers/i-7f\",\"revision\":12,"
+		"\"tombstone\":true}],\"current_rev\":13}";
+	platform_items_t *items = NULL;
+
+	CU_ASSERT_EQUAL_FATAL(platform_items_decode(&items, CAROB_STR(body)),
+			      0);
+	CU_ASSERT_EQUAL(platform_items_reply(items)->changes[0].kind,
+			CAROB_CATALOG_UPSTREAM_REMOVED);
+	CU_ASSERT_TRUE(carob_str_eq(
+		platform_items_reply(items)->changes[0].upstream_id,
+		CAROB_STR("i-7f")));
+	platform_items_free(items);
+}
+
+/* A storm of configurations reaches a paused watch in one answer. */
+static void test_two_configurations_in_one_answer(void)
+{
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t body = CAROB_BUF_INIT;
+	platform_items_t *items = NULL;
+	const carob_catalog_reply_t *reply;
+
+	begin_events(&body);
+	append_item(&body, "op/config",
+		    "{\"version\":7,\"routes\":[{\"hostname\":\"198.18.0.1\","
+		    "\"prefix\":\"/443/\",\"service\":\"one\"}],"
+		    "\"limits\":{\"idle_timeout_ms\":15000}}",
+		    3);
+	append_item(&body, "op/config",
+		    "{\"version\":9,\"routes\":[{\"hostname\":\"198.18.0.2\","
+		    "\"prefix\":\"/80/\",\"traffic_split\":[{\"service\":\"a\","
+		    "\"weight\":90},{\"service\":\"b\",\"weight\":10}]},"
+		    "{\"hostname\":\"198.18.0.3\",\"prefix\":\"/81/\","
+		    "\"service\":\"c\"}],\"limits\":{}}",
+		    4);
+	reply = decode(&items, &body);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(reply);
+	CU_ASSERT_EQUAL(reply->changes[0].kind, CAROB_CATALOG_CONFIG);
+	CU_ASSERT_EQUAL(reply->changes[0].config.version, 7);
+	CU_ASSERT_EQUAL(reply->changes[0].config.idle_timeout_ms, 15000);
+	CU_ASSERT_EQUAL(reply->changes[0].config.count, 1);
+	CU_ASSERT_EQUAL(reply->changes[0].config.routes[0].endpoint.ip,
+			0xc6120001);
+	CU_ASSERT_EQUAL(reply->changes[0].config.routes[0].endpoint.port, 443);
+	CU_ASSERT_EQUAL(reply->changes[1].config.version, 9);
+	CU_ASSERT_EQUAL(reply->changes[1].config.routes[0].share_count, 2);
+	CU_ASSERT_EQUAL(reply->changes[1].config.routes[0].shares[1].weight,
+			10);
+	CU_ASSERT_EQUAL(reply->changes[1].config.routes[1].endpoint.port, 81);
+	platform_items_free(items);
+}
+
+static void test_answers_that_are_none(void)
+{
+	static const char *const bodies[] = {
+		"",
+		"[]",
+		"{}",
+		"{\"items\":[]}",
+		"{\"items\":{},\"current_rev\":1}",
+		"{\"items\":[{\"key\":\"servers/i-1\"}],\"current_rev\":1}",
+		"{\"items\":[7],\"current_rev\":1}",
+	};
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(bodies); i++) {
+		platform_items_t *items = NULL;
+
+		CU_ASSERT_EQUAL(platform_items_decode(
+					&items, carob_str_from(bodies[i])),
+				CAROB_EFORMAT);
+		CU_ASSERT_PTR_NULL(items);
+	}
+}
+
+int main(void)
+{
+	static const test_case_t cases[] = {
+		{"an upstream's entry", test_upstream_entry},
+		{"entries that name nothing to use", test_unusable_entries},
+		{"ids and keys", test_ids},
+		{"a removal", test_removal},
+		{"two configurations in one answer",
+		 test_two_configurations_in_one_answer},
+		{"answers that are none", test_answers_that_are_none},
+	};
+
+	return run_tests("platform items", cases, CAROB_ARRAY_SIZE(cases));
+}
