flowd: settings are read again on SIGHUP and when their file changes

The daemons' log goes to standard output through a bounded buffer that never waits for its reader; what is dropped is counted and told.

--- a/include/carobtrail/catalog.h
+++ b/include/carobtrail/catalog.h
@@ -155,6 +155,10 @@
 /** Reads at once: beliefs may be old, for instance after a pause. */
 void carob_catalog_refresh(carob_catalog_t *catalog);
 
+/** Changes the spans that `carob_catalog_options_t` describes. */
+void carob_catalog_set_spans(carob_catalog_t *catalog, uint32_t contact_ms,
+			     uint32_t apply_ms);
+
 /** @return whether there are a configuration and a whole listing */
 bool carob_catalog_complete(const carob_catalog_t *catalog);
 
--- a/include/carobtrail/log.h
+++ b/include/carobtrail/log.h
@@ -25,10 +25,12 @@
 #define CAROB_LOG_EVENTS(X)                                                    \
 	X(CAROB_EV_STARTED, 1001, INFO, "process started")                     \
 	X(CAROB_EV_DRAINING, 1002, INFO, "graceful stop begun")                \
-	X(CAROB_EV_READINESS, 1006, INFO, "readiness changed")                 \
 	X(CAROB_EV_STOPPED, 1003, INFO, "process stopped")                     \
 	X(CAROB_EV_SETTINGS_REFUSED, 1004, ERROR, "settings refused")          \
 	X(CAROB_EV_START_FAILED, 1005, ERROR, "process could not start")       \
+	X(CAROB_EV_READINESS, 1006, INFO, "readiness changed")                 \
+	X(CAROB_EV_SETTINGS_IN_FORCE, 1007, INFO, "settings in force")         \
+	X(CAROB_EV_LOG_DROPPED, 1008, WARN, "log lines were dropped")          \
 	X(CAROB_EV_MANIFEST_APPLIED, 2001, INFO,                               \
 	  "manifest generation in force")                                      \
 	X(CAROB_EV_MANIFEST_REFUSED, 2002, ERROR,                              \
--- a/script/testbed.sh
+++ b/script/testbed.sh
@@ -49,9 +49,11 @@
 
 # Starts a program in the background: bed_spawn NAME COMMAND...
 bed_spawn() {
-	local name=$1
+	local name=$1 out=$BED/$1.out
 	shift
-	"$@" >"$BED/$name.out" 2>>"$BED/$name.log" &
+	# The daemons log on standard output, the stand-ins print results there.
+	[[ $name != entry-* ]] || out=$BED/$name.log
+	"$@" >>"$out" 2>>"$BED/$name.log" &
 	PID_OF[$name]=$!
 	PIDS+=("$!")
 	disown
--- a/src/entryd/main.c
+++ b/src/entryd/main.c
@@ -15,6 +15,7 @@
 #include "traces.h"
 
 #include <sodium.h>
+#include <unistd.h>
 
 typedef struct entryd {
 	carob_program_t program;
@@ -94,6 +95,7 @@
 int main(int argc, const char **argv)
 {
 	static entryd_t self = {.program.name = "carob-entryd",
+				.program.log_fd = STDOUT_FILENO,
 				.program.on_signal = on_signal};
 	int error;
 
--- a/src/flow/catalog.c
+++ b/src/flow/catalog.c
@@ -367,6 +367,13 @@
 		read_page(catalog);
 }
 
+void carob_catalog_set_spans(carob_catalog_t *catalog, uint32_t contact_ms,
+			     uint32_t apply_ms)
+{
+	catalog->options.contact_ms = contact_ms;
+	catalog->options.apply_ms = apply_ms;
+}
+
 bool carob_catalog_complete(const carob_catalog_t *catalog)
 {
 	return catalog->options.routes->buckets && catalog->revision > 0;
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -12,6 +12,7 @@
 
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 /* The sweep, and the look whether the process was paused. */
 #define TICK_NS (500 * CAROB_NS_PER_MS)
@@ -22,6 +23,8 @@
 #define LEAVE_MS_MIN 2000
 /* Left of the grace time for the end itself. */
 #define LEAVE_MARGIN_MS 1000
+/* Ticks between two looks whether the settings file has changed. */
+#define SETTINGS_TICKS 10
 /* No packet for so long: the routers have turned away. */
 #define QUIET_NS (CAROB_NS_PER_S)
 
@@ -39,6 +42,7 @@
 	flowd_http_handler_t readiness_handler;
 	flowd_http_handler_t metrics_handler;
 	carob_timer_t tick;
+	uint64_t ticks;
 	uint64_t suspended_ns; /* total time in suspension, by the clocks */
 	bool ready;	       /* as last answered */
 	bool leaving;
@@ -137,6 +141,8 @@
 	notice_pause(self, now);
 	carob_steering_sweep(self->steering);
 	leave_if_quiet(self, now);
+	if (++self->ticks % SETTINGS_TICKS == 0)
+		carob_program_reload_if_changed(&self->program);
 	(void)carob_timer_arm(self->program.kernel, &self->tick, now + TICK_NS);
 }
 
@@ -155,6 +161,39 @@
 				  carob_steering_flow_count(self->steering)));
 }
 
+static void log_settings(const flowd_settings_t *settings)
+{
+	char store[CAROB_ADDR_TEXT_MAX];
+
+	carob_addr_format(store, &settings->store);
+	CAROB_LOG(CAROB_EV_SETTINGS_IN_FORCE,
+		  CAROB_FIELD_STR("instance", settings->instance),
+		  CAROB_FIELD_CSTR("zone", settings->zone.name),
+		  CAROB_FIELD_CSTR("store", store),
+		  CAROB_FIELD_U64("first_start", settings->first_start),
+		  CAROB_FIELD_U64("contact_ms", settings->contact_ms),
+		  CAROB_FIELD_U64("apply_ms", settings->apply_ms),
+		  CAROB_FIELD_U64("stop_grace_ms", settings->stop_grace_ms));
+}
+
+/* Addresses and the zone stay as they were at the start: what moves them
+ * starts the process again. */
+static int on_reload(carob_program_t *program, const carob_json_node_t *root)
+{
+	flowd_t *self = (flowd_t *)program;
+	flowd_settings_t settings;
+	int error = flowd_settings_read(&settings, root);
+
+	if (error)
+		return error;
+	self->settings.instance = settings.instance;
+	self->settings.stop_grace_ms = settings.stop_grace_ms;
+	log_settings(&settings);
+	carob_catalog_set_spans(self->catalog, settings.contact_ms,
+				settings.apply_ms);
+	return 0;
+}
+
 static int start_steering(flowd_t *self)
 {
 	carob_steering_options_t options = CAROB_STEERING_OPTIONS_INIT;
@@ -225,6 +264,7 @@
 	(void)carob_timer_arm(self->program.kernel, &self->tick,
 			      carob_kernel_now_ns(self->program.kernel) +
 				      TICK_NS);
+	log_settings(&self->settings);
 	carob_catalog_start(self->catalog);
 	return 0;
 }
@@ -245,7 +285,9 @@
 int main(int argc, const char **argv)
 {
 	static flowd_t self = {.program.name = "carob-flowd",
-			       .program.on_signal = on_signal};
+			       .program.log_fd = STDOUT_FILENO,
+			       .program.on_signal = on_signal,
+			       .program.on_reload = on_reload};
 	int error;
 
 	error = carob_program_init(&self.program, argc, argv);
--- /dev/null
+++ b/src/net/log_output.c
@@ -0,0 +1,122 @@
+#include "net/log_output.h"
+
+#include "carobtrail/errors.h"
+
+#include <limits.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Lines of about a second at the front's highest rate. */
+#define BUFFER_BYTES (64 * 1024)
+/* A line waits this long at most, so that many lines share a system call. */
+#define WRITE_AFTER_NS (100 * CAROB_NS_PER_MS)
+
+struct carob_log_output {
+	carob_log_sink_t sink;
+	carob_kernel_t *kernel;
+	carob_timer_t timer;
+	int fd;
+	size_t len;
+	uint64_t dropped;
+	uint64_t reported; /* of `dropped` */
+	char buffer[BUFFER_BYTES];
+};
+
+/* A pipe that polls writable takes PIPE_BUF bytes without blocking. */
+static bool write_some(carob_log_output_t *output)
+{
+	struct pollfd poller = {.fd = output->fd, .events = POLLOUT};
+	size_t most = output->len < PIPE_BUF ? output->len : PIPE_BUF;
+	ssize_t written;
+
+	if (poll(&poller, 1, 0) != 1 || !(poller.revents & POLLOUT))
+		return false;
+	written = write(output->fd, output->buffer, most);
+	if (written <= 0)
+		return false;
+	output->len -= (size_t)written;
+	memmove(output->buffer, output->buffer + written, output->len);
+	return true;
+}
+
+static void write_all(carob_log_output_t *output)
+{
+	while (output->len > 0 && write_some(output))
+		;
+}
+
+static void arm(carob_log_output_t *output)
+{
+	if (carob_timer_armed(&output->timer))
+		return;
+	(void)carob_timer_arm(output->kernel, &output->timer,
+			      carob_kernel_now_ns(output->kernel) +
+				      WRITE_AFTER_NS);
+}
+
+static void on_timer(carob_timer_t *timer)
+{
+	carob_log_output_t *output =
+		CAROB_CONTAINER_OF(timer, carob_log_output_t, timer);
+	uint64_t lost = output->dropped - output->reported;
+
+	write_all(output);
+	if (lost > 0 && output->len == 0) {
+		output->reported = output->dropped;
+		CAROB_LOG(CAROB_EV_LOG_DROPPED, CAROB_FIELD_U64("lines", lost));
+		write_all(output);
+	}
+	if (output->len > 0)
+		arm(output);
+}
+
+static void sink_write(carob_log_sink_t *sink, carob_str_t line)
+{
+	carob_log_output_t *output =
+		CAROB_CONTAINER_OF(sink, carob_log_output_t, sink);
+
+	if (line.len > sizeof(output->buffer) - output->len) {
+		output->dropped++;
+		arm(output);
+		return;
+	}
+	memcpy(output->buffer + output->len, line.ptr, line.len);
+	output->len += line.len;
+	arm(output);
+}
+
+int carob_log_output_new(carob_log_output_t **out, carob_kernel_t *kernel,
+			 int fd)
+{
+	carob_log_output_t *output = calloc(1, sizeof(*output));
+
+	if (!output)
+		return carob_error_set(CAROB_ENOMEM, "log output");
+	output->sink.write = sink_write;
+	output->kernel = kernel;
+	output->timer.fire = on_timer;
+	output->fd = fd;
+	*out = output;
+	return 0;
+}
+
+void carob_log_output_free(carob_log_output_t *output)
+{
+	if (!output)
+		return;
+	carob_timer_cancel(output->kernel, &output->timer);
+	write_all(output);
+	free(output);
+}
+
+carob_log_sink_t *carob_log_output_sink(carob_log_output_t *output)
+{
+	return &output->sink;
+}
+
+uint64_t carob_log_output_dropped(const carob_log_output_t *output)
+{
+	return output->dropped;
+}
--- a/src/net/program.c
+++ b/src/net/program.c
@@ -8,6 +8,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 static int refuse_usage(carob_program_t *program, const char *what,
 			const char *why)
@@ -78,6 +80,74 @@
 	return error;
 }
 
+static void configure_log(const carob_program_t *program)
+{
+	carob_log_configure(program->name, carob_clock_system(),
+			    program->log_level,
+			    program->log_output
+				    ? carob_log_output_sink(program->log_output)
+				    : NULL);
+}
+
+/* @return a figure that changes when a file is replaced or written to */
+static uint64_t stamp_of(const char *path)
+{
+	struct stat st;
+
+	if (stat(path, &st) != 0)
+		return 0;
+	return (uint64_t)st.st_mtim.tv_sec * CAROB_NS_PER_S +
+	       (uint64_t)st.st_mtim.tv_nsec + (uint64_t)st.st_ino +
+	       (uint64_t)st.st_size;
+}
+
+/* Keeps the old settings if the new ones are refused. */
+static void reload(carob_program_t *program)
+{
+	carob_json_doc_t *settings = NULL;
+	carob_json_node_t root;
+	carob_log_level_t level;
+	int error;
+
+	program->settings_stamp = stamp_of(program->settings_path);
+	error = carob_json_doc_load(&settings, program->settings_path,
+				    CAROB_JSON_SETTINGS_BYTES_MAX);
+	if (!error) {
+		root = carob_json_doc_root(settings);
+		error = carob_program_log_level(&level, &root);
+	}
+	if (!error)
+		error = program->on_reload(program, &root);
+	if (error) {
+		CAROB_LOG(CAROB_EV_SETTINGS_REFUSED,
+			  CAROB_FIELD_CSTR("error", carob_error_last()),
+			  CAROB_FIELD_CSTR("in_force", "the settings before"));
+		carob_json_doc_free(settings);
+		return;
+	}
+	carob_json_doc_free(program->settings);
+	program->settings = settings;
+	program->log_level = level;
+	configure_log(program);
+}
+
+void carob_program_reload_if_changed(carob_program_t *program)
+{
+	if (program->on_reload &&
+	    stamp_of(program->settings_path) != program->settings_stamp)
+		reload(program);
+}
+
+static void on_hangup(evutil_socket_t fd, short what, void *arg)
+{
+	carob_program_t *program = arg;
+
+	(void)fd;
+	(void)what;
+	if (program->on_reload)
+		reload(program);
+}
+
 static int load_settings(carob_program_t *program, const char *path)
 {
 	carob_json_node_t root;
@@ -92,7 +162,9 @@
 	error = carob_program_log_level(&level, &root);
 	if (error)
 		return carob_program_refuse_settings(program, error);
-	carob_log_configure(program->name, carob_clock_system(), level, NULL);
+	program->log_level = level;
+	configure_log(program);
+	program->settings_stamp = stamp_of(path);
 	return 0;
 }
 
@@ -111,12 +183,19 @@
 
 static int watch_signals(carob_program_t *program)
 {
-	static const int numbers[] = {SIGTERM, SIGINT};
+	static const struct {
+		int number;
+		event_callback_fn callback;
+	} watched[] = {
+		{SIGTERM, on_signal},
+		{SIGINT, on_signal},
+		{SIGHUP, on_hangup},
+	};
 	struct event_base *base = carob_loop_base(program->loop);
 
-	for (size_t i = 0; i < CAROB_ARRAY_SIZE(numbers); i++) {
-		program->signals[i] =
-			evsignal_new(base, numbers[i], on_signal, program);
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(watched); i++) {
+		program->signals[i] = evsignal_new(
+			base, watched[i].number, watched[i].callback, program);
 		if (!program->signals[i] ||
 		    event_add(program->signals[i], NULL) != 0)
 			return carob_error_set(CAROB_EIO, "signal handler");
@@ -134,8 +213,14 @@
 	if (!error)
 		error = carob_udp_hub_new(&program->hub,
 					  carob_loop_base(program->loop));
+	if (!error)
+		error = carob_log_output_new(
+			&program->log_output, program->kernel,
+			program->log_fd ? program->log_fd : STDERR_FILENO);
 	if (!error)
 		error = watch_signals(program);
+	if (!error)
+		configure_log(program);
 	return error ? carob_program_fail(program, error) : 0;
 }
 
@@ -150,7 +235,7 @@
 	error = read_arguments(&path, program, argc, argv);
 	if (!error)
 		error = load_settings(program, path);
-	free(path);
+	program->settings_path = path;
 	if (!error)
 		error = set_up(program);
 	return error;
@@ -166,6 +251,9 @@
 
 void carob_program_dispose(carob_program_t *program)
 {
+	carob_log_configure(program->name, carob_clock_system(),
+			    program->log_level, NULL);
+	carob_log_output_free(program->log_output);
 	carob_kernel_free(program->kernel);
 	carob_udp_hub_free(program->hub);
 	for (size_t i = 0; i < CAROB_ARRAY_SIZE(program->signals); i++)
@@ -173,4 +261,5 @@
 			event_free(program->signals[i]);
 	carob_loop_free(program->loop);
 	carob_json_doc_free(program->settings);
+	free(program->settings_path);
 }
--- a/src/net/program.h
+++ b/src/net/program.h
@@ -8,6 +8,7 @@
 
 #include "carobtrail/kernel.h"
 #include "carobtrail/log.h"
+#include "net/log_output.h"
 #include "net/loop.h"
 #include "net/udp.h"
 #include "util/json_doc.h"
@@ -27,11 +28,24 @@
 	const char *name;
 	/** SIGTERM or SIGINT came the `count`-th time. NULL: end the loop. */
 	void (*on_signal)(carob_program_t *program, int count);
+	/**
+	 * The settings were read again, by SIGHUP or because the file changed.
+	 * NULL: settings are read at the start only.
+	 *
+	 * @return 0, or a negative code: the old ones stay in force
+	 */
+	int (*on_reload)(carob_program_t *program,
+			 const carob_json_node_t *settings);
+	int log_fd; /* where the log goes; 0: standard error */
+	carob_log_output_t *log_output;
+	carob_log_level_t log_level;
 	carob_json_doc_t *settings;
 	carob_kernel_t *kernel;
 	carob_loop_t *loop;
 	carob_udp_hub_t *hub;
-	struct event *signals[2];
+	struct event *signals[3];
+	char *settings_path;
+	uint64_t settings_stamp; /* changes with the file */
 	int signal_count;
 	int exit_status; /* what `main` returns */
 };
@@ -56,6 +70,9 @@
 /** Logs the start, runs the loop until it is stopped, logs the stop. */
 void carob_program_run(carob_program_t *program);
 
+/** Reads the settings again if their file has changed since. */
+void carob_program_reload_if_changed(carob_program_t *program);
+
 /** Releases everything, the kernel's services first. */
 void carob_program_dispose(carob_program_t *program);
 
