placement: idle flows of other zones' instances count too

Cause: an instance sees only its own flows, so upstreams of other zones looked empty and took about half of the long flows; those stood still when a zone was cut. Ruled out: the SYNs' second choice (few copies are sent before the cut). An upstream of another zone now counts with the own zone's mean idle load, and takes a flow only when a request waits for each slot at home. The test fails first.

--- a/src/flow/placement.c
+++ b/src/flow/placement.c
@@ -5,8 +5,9 @@
 
 /* An idle flow's share of a request in progress. */
 #define IDLE_FLOW_WEIGHT 0.1
-/* How much lower, in requests a slot, the load in another zone has to be. */
-#define OTHER_ZONE_MARGIN 0.5
+/* How much lower, in requests a slot, the load in another zone has to be:
+ * one request waits for each slot of the own zone. */
+#define OTHER_ZONE_MARGIN 1.0
 /* Slots that a cold upstream counts with, as a part of its own. */
 #define COLD_FACTOR 0.6
 /* One lost SYN is no sign; the second in a row is. */
@@ -54,20 +55,45 @@
 	return CANDIDATE_GOOD;
 }
 
+static double idle_load(const carob_upstream_t *upstream)
+{
+	if (upstream->open_flows <= upstream->pending)
+		return 0;
+	return IDLE_FLOW_WEIGHT * (upstream->open_flows - upstream->pending);
+}
+
+/* Idle load for each slot of the own zone. Instances of another zone keep
+ * about as many idle flows on its upstreams, which can't be seen from here. */
+static double home_idle_load(const carob_upstream_table_t *table,
+			     const carob_placement_query_t *query)
+{
+	double load = 0;
+	double slots = 0;
+
+	for (size_t i = 0; i < table->count; i++) {
+		const carob_upstream_t *upstream = &table->items[i];
+
+		if (!carob_upstream_accepts(upstream) ||
+		    upstream->service != query->service ||
+		    upstream->zone != query->home_zone)
+			continue;
+		load += idle_load(upstream);
+		slots += upstream->slots;
+	}
+	return slots > 0 ? load / slots : 0;
+}
+
 static double cost_of(const carob_upstream_t *upstream,
-		      const carob_placement_query_t *query)
+		      const carob_placement_query_t *query, double home_idle)
 {
 	double slots = upstream->slots;
-	uint32_t idle = upstream->open_flows > upstream->pending
-				? upstream->open_flows - upstream->pending
-				: 0;
-	double load = upstream->pending + IDLE_FLOW_WEIGHT * idle;
-	double margin = upstream->zone == query->home_zone ? 0
-							   : OTHER_ZONE_MARGIN;
+	double load = upstream->pending + idle_load(upstream);
 
 	if (query->now_ns < upstream->cold_until_ns)
 		slots *= COLD_FACTOR;
-	return load / slots + margin;
+	if (upstream->zone == query->home_zone)
+		return load / slots;
+	return load / slots + home_idle + OTHER_ZONE_MARGIN;
 }
 
 static bool is_better(const candidate_t *a, const candidate_t *b)
@@ -85,6 +111,7 @@
 {
 	carob_upstream_index_t best_index = CAROB_UPSTREAM_NONE;
 	candidate_t best = {.class = CANDIDATE_UNUSABLE};
+	double home_idle = home_idle_load(table, query);
 
 	for (size_t i = 0; i < table->count; i++) {
 		const carob_upstream_t *upstream = &table->items[i];
@@ -94,7 +121,7 @@
 
 		if (candidate.class == CANDIDATE_UNUSABLE)
 			continue;
-		candidate.cost = cost_of(upstream, query);
+		candidate.cost = cost_of(upstream, query, home_idle);
 		candidate.spread =
 			carob_hash_u64(query->flow_hash ^ upstream->number);
 		if (best_index == CAROB_UPSTREAM_NONE ||
--- /dev/null
+++ b/tests/flow/flow_fixture.h
@@ -0,0 +1,91 @@
+/* Upstreams, routes and packets for the tests of steering. */
+#ifndef CAROB_TESTS_FLOW_FIXTURE_H
+#define CAROB_TESTS_FLOW_FIXTURE_H
+
+#include "carobtrail/steering.h"
+#include "test_runner.h"
+
+#include <string.h>
+
+#define FIXTURE_ROUTE ((carob_endpoint_t){0xc6120001, 443})
+#define FIXTURE_START (1000 * CAROB_NS_PER_S)
+
+/** One upstream as a test's table has it. */
+typedef struct fixture_upstream {
+	const char *id;
+	uint64_t number;
+	const char *service;
+	const char *zone;
+	uint32_t slots;
+	uint32_t open_flows;
+	uint32_t pending;
+	uint32_t cold_ms;
+	bool draining;
+} fixture_upstream_t;
+
+/** A row; the further arguments are designated members. */
+#define UPSTREAM(i, n, s, z, k, ...)                                           \
+	{                                                                      \
+		.id = (i), .number = (n), .service = (s), .zone = (z),         \
+		.slots = (k), ##__VA_ARGS__                                    \
+	}
+
+static inline void fixture_put(carob_upstream_table_t *table,
+			       const fixture_upstream_t *row, uint64_t revision)
+{
+	carob_upstream_entry_t entry = {
+		.id = carob_str_from(row->id),
+		.number = row->number,
+		.service = carob_str_from(row->service),
+		.zone = carob_str_from(row->zone),
+		.endpoint = {0x0a800000 + (uint32_t)row->number, 8080},
+		.slots = row->slots,
+		.cold_ms = row->cold_ms,
+		.draining = row->draining,
+	};
+	carob_upstream_index_t at;
+
+	CU_ASSERT_EQUAL_FATAL(carob_upstream_table_put(table, &entry, revision,
+						       FIXTURE_START),
+			      0);
+	at = carob_upstream_table_by_id(table, entry.id);
+	table->items[at].open_flows = row->open_flows;
+	table->items[at].pending = row->pending;
+}
+
+/** @return the id that a placement chose, "" for none */
+static inline const char *fixture_id(const carob_upstream_table_t *table,
+				     carob_upstream_index_t index)
+{
+	return index == CAROB_UPSTREAM_NONE ? "" : table->items[index].id;
+}
+
+static inline carob_flow_packet_t fixture_syn(uint16_t port, uint8_t copy)
+{
+	return (carob_flow_packet_t){
+		.caller = {0x64400007, port},
+		.route = FIXTURE_ROUTE,
+		.seq = 1000u + port,
+		.syn = true,
+		.syn_copy = copy,
+	};
+}
+
+/** A packet behind the SYN: `offset` bytes into the caller's stream. */
+static inline carob_flow_packet_t fixture_data(uint16_t port, uint32_t tag,
+					       uint32_t offset,
+					       uint16_t data_bytes,
+					       uint32_t ack)
+{
+	return (carob_flow_packet_t){
+		.caller = {0x64400007, port},
+		.route = FIXTURE_ROUTE,
+		.seq = 1001u + port + offset,
+		.ack = ack,
+		.steering_tag = tag,
+		.data_bytes = data_bytes,
+		.has_ack = true,
+	};
+}
+
+#endif
--- /dev/null
+++ b/tests/flow/placement_test.c
@@ -0,0 +1,154 @@
+#include "flow/flow_fixture.h"
+
+#include "carobtrail/log.h"
+
+#define ROWS_MAX 6
+#define HOME	 "hou-a"
+#define OTHER	 "hou-b"
+
+static const struct {
+	const char *name;
+	fixture_upstream_t rows[ROWS_MAX];
+	const char *except;
+	const char *chosen;
+} choices[] = {
+	{"nothing listed", {{0}}, "", ""},
+	{"the least loaded",
+	 {UPSTREAM("i-1", 1, "desk", HOME, 2, .open_flows = 3, .pending = 2),
+	  UPSTREAM("i-2", 2, "desk", HOME, 2, .open_flows = 3, .pending = 1)},
+	 "",
+	 "i-2"},
+	{"load counts for each slot",
+	 {UPSTREAM("i-1", 1, "desk", HOME, 2, .open_flows = 2, .pending = 2),
+	  UPSTREAM("i-2", 2, "desk", HOME, 8, .open_flows = 4, .pending = 4)},
+	 "",
+	 "i-2"},
+	{"another service's upstream is never chosen",
+	 {UPSTREAM("i-1", 1, "desk", HOME, 2, .open_flows = 9, .pending = 9),
+	  UPSTREAM("i-2", 2, "yard", HOME, 2)},
+	 "",
+	 "i-1"},
+	{"a draining one gets no new flow",
+	 {UPSTREAM("i-1", 1, "desk", HOME, 2, .open_flows = 9, .pending = 9),
+	  UPSTREAM("i-2", 2, "desk", HOME, 2, .draining = true)},
+	 "",
+	 "i-1"},
+	{"all drain: none",
+	 {UPSTREAM("i-1", 1, "desk", HOME, 2, .draining = true)},
+	 "",
+	 ""},
+	{"a cold one counts with fewer slots",
+	 {UPSTREAM("i-1", 1, "desk", HOME, 2, .open_flows = 2, .pending = 2),
+	  UPSTREAM("i-2", 2, "desk", HOME, 2, .open_flows = 2, .pending = 2,
+		   .cold_ms = 2000)},
+	 "",
+	 "i-1"},
+	{"the own zone goes first",
+	 {UPSTREAM("i-1", 1, "desk", HOME, 2, .open_flows = 1, .pending = 1),
+	  UPSTREAM("i-2", 2, "desk", OTHER, 2)},
+	 "",
+	 "i-1"},
+	{"a busy zone spills over",
+	 {UPSTREAM("i-1", 1, "desk", HOME, 2, .open_flows = 5, .pending = 5),
+	  UPSTREAM("i-2", 2, "desk", OTHER, 2)},
+	 "",
+	 "i-2"},
+	/* Other instances keep idle flows in their zones as well: what looks
+	 * empty from here is not. */
+	{"idle flows do not drive new ones out of the zone",
+	 {UPSTREAM("i-1", 1, "desk", HOME, 2, .open_flows = 60, .pending = 0),
+	  UPSTREAM("i-2", 2, "desk", OTHER, 2)},
+	 "",
+	 "i-1"},
+	{"idle flows are spread within the zone",
+	 {UPSTREAM("i-1", 1, "desk", HOME, 2, .open_flows = 9, .pending = 0),
+	  UPSTREAM("i-2", 2, "desk", HOME, 2, .open_flows = 8, .pending = 0)},
+	 "",
+	 "i-2"},
+	{"the one just tried is passed over",
+	 {UPSTREAM("i-1", 1, "desk", HOME, 2),
+	  UPSTREAM("i-2", 2, "desk", OTHER, 2, .open_flows = 9, .pending = 9)},
+	 "i-1",
+	 "i-2"},
+	{"the one just tried, if there is no other",
+	 {UPSTREAM("i-1", 1, "desk", HOME, 2)},
+	 "i-1",
+	 "i-1"},
+};
+
+static carob_upstream_index_t choose(carob_upstream_table_t *table,
+				     const char *except, uint64_t now_ns)
+{
+	carob_placement_query_t query = {
+		.flow_hash = 7,
+		.except = carob_upstream_table_by_id(table,
+						     carob_str_from(except)),
+		.now_ns = now_ns,
+	};
+
+	CU_ASSERT_EQUAL(carob_name_table_add(&query.service, &table->services,
+					     CAROB_STR("desk")),
+			0);
+	CU_ASSERT_EQUAL(carob_name_table_add(&query.home_zone, &table->zones,
+					     CAROB_STR(HOME)),
+			0);
+	return carob_placement_choose(table, &query);
+}
+
+static void test_choices(void)
+{
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(choices); i++) {
+		CAROB_CLEANUP(carob_upstream_table_dispose)
+		carob_upstream_table_t table = {0};
+		const char *chosen;
+
+		for (size_t k = 0; k < ROWS_MAX && choices[i].rows[k].id; k++)
+			fixture_put(&table, &choices[i].rows[k], k + 1);
+		chosen = fixture_id(&table, choose(&table, choices[i].except,
+						   FIXTURE_START));
+		CU_ASSERT_STRING_EQUAL(chosen, choices[i].chosen);
+		if (strcmp(chosen, choices[i].chosen) != 0)
+			printf("\n%s: chose \"%s\"", choices[i].name, chosen);
+	}
+}
+
+/* Two SYNs in a row without an answer: others go first, for a while, then one
+ * flow at a time shows whether it is back. */
+static void test_a_silent_upstream(void)
+{
+	static const fixture_upstream_t rows[] = {
+		UPSTREAM("i-1", 1, "desk", HOME, 2),
+		UPSTREAM("i-2", 2, "desk", HOME, 2, .open_flows = 9,
+			 .pending = 9),
+	};
+	CAROB_CLEANUP(carob_upstream_table_dispose)
+	carob_upstream_table_t table = {0};
+	carob_upstream_index_t silent;
+	uint64_t later = FIXTURE_START + 2 * CAROB_NS_PER_S;
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(rows); i++)
+		fixture_put(&table, &rows[i], i + 1);
+	silent = carob_upstream_table_by_id(&table, CAROB_STR("i-1"));
+
+	carob_placement_note_failure(&table, silent, FIXTURE_START);
+	CU_ASSERT_EQUAL(choose(&table, "", FIXTURE_START), silent);
+	carob_placement_note_failure(&table, silent, FIXTURE_START);
+	CU_ASSERT_NOT_EQUAL(choose(&table, "", FIXTURE_START), silent);
+	CU_ASSERT_EQUAL(choose(&table, "", later), silent);
+	table.items[silent].pending = 1;
+	CU_ASSERT_NOT_EQUAL(choose(&table, "", later), silent);
+	table.items[silent].pending = 0;
+	carob_placement_note_success(&table, silent);
+	CU_ASSERT_EQUAL(choose(&table, "", FIXTURE_START), silent);
+}
+
+int main(void)
+{
+	static const test_case_t cases[] = {
+		{"choices", test_choices},
+		{"a silent upstream", test_a_silent_upstream},
+	};
+
+	carob_log_configure("test", NULL, CAROB_LOG_ERROR, NULL);
+	return run_tests("placement", cases, CAROB_ARRAY_SIZE(cases));
+}
