steering: flows that wait for a silent upstream are reset

Cause: an upstream that goes dark keeps its flows until its entry lapses, 3.6 s later; requests on them waited until their callers' deadlines. Two SYNs without an answer, or one and two waiting requests, while others answer, now reset the requests that their callers may repeat. Ruled out: repeated requests alone (a busy upstream looks the same), health probes (they take a slot and may lie).

Tests play the packets on a paused clock: copies of SYNs, drained, gone and reborn upstreams, routes that come and go, silence with and without others that answer.

--- a/include/carobtrail/catalog.h
+++ b/include/carobtrail/catalog.h
@@ -30,6 +30,7 @@
 /** One route as the configuration has it. */
 typedef struct carob_catalog_route {
 	carob_endpoint_t endpoint;
+	bool idempotent;
 	size_t share_count;
 	carob_catalog_share_t shares[CAROB_ROUTE_SHARES_MAX];
 } carob_catalog_route_t;
--- a/include/carobtrail/flow_table.h
+++ b/include/carobtrail/flow_table.h
@@ -23,9 +23,10 @@
 	uint32_t route_ip;
 	uint16_t caller_port;
 	uint16_t route_port;
-	uint8_t phase;	 /* carob_flow_phase_t */
-	uint8_t pending; /* a request is in progress */
-	uint16_t reserved;
+	uint8_t phase;	  /* carob_flow_phase_t */
+	uint8_t pending;  /* a request is in progress */
+	uint8_t repeated; /* the request in progress was sent again */
+	uint8_t reserved;
 	carob_upstream_index_t upstream;
 	uint32_t first_seq; /* of the caller's SYN */
 	uint32_t last_ack;  /* of the caller */
--- a/include/carobtrail/log.h
+++ b/include/carobtrail/log.h
@@ -86,6 +86,8 @@
 	  "an upstream leaves SYNs unanswered: others go first")               \
 	X(CAROB_EV_UPSTREAM_ANSWERS, 5003, INFO,                               \
 	  "an upstream that was passed over answers again")                    \
+	X(CAROB_EV_UPSTREAM_SILENCE, 5004, WARN,                               \
+	  "an upstream has fallen silent: waiting flows are reset")            \
 	X(CAROB_EV_PROBES_DISTRUSTED, 5010, WARN,                              \
 	  "most upstreams look silent: health probes do not count")
 
--- a/include/carobtrail/placement.h
+++ b/include/carobtrail/placement.h
@@ -35,13 +35,4 @@
 carob_placement_choose(const carob_upstream_table_t *table,
 		       const carob_placement_query_t *query);
 
-/** Notes that an upstream left a SYN unanswered. */
-void carob_placement_note_failure(carob_upstream_table_t *table,
-				  carob_upstream_index_t index,
-				  uint64_t now_ns);
-
-/** Notes that an upstream answered. */
-void carob_placement_note_success(carob_upstream_table_t *table,
-				  carob_upstream_index_t index);
-
 #endif
--- a/include/carobtrail/route_table.h
+++ b/include/carobtrail/route_table.h
@@ -21,6 +21,7 @@
 /** One route of a configuration. */
 typedef struct carob_route {
 	carob_endpoint_t endpoint;
+	bool idempotent; /* callers may repeat its requests */
 	size_t share_count;
 	carob_route_share_t shares[CAROB_ROUTE_SHARES_MAX];
 } carob_route_t;
--- a/include/carobtrail/steering.h
+++ b/include/carobtrail/steering.h
@@ -30,6 +30,7 @@
 	X(CAROB_STEER_NO_ROUTE, RESET, "no_route")                             \
 	X(CAROB_STEER_ROUTE_DROPPED, RESET, "route_dropped")                   \
 	X(CAROB_STEER_NO_UPSTREAM, RESET, "no_upstream")                       \
+	X(CAROB_STEER_UPSTREAM_SILENT, RESET, "upstream_silent")               \
 	X(CAROB_STEER_UNKNOWN_TAG, DROP, "unknown_tag")                        \
 	X(CAROB_STEER_NO_CONFIG, DROP, "no_configuration")                     \
 	X(CAROB_STEER_FORGED, DROP, "forged")
@@ -91,6 +92,21 @@
 			   carob_steering_t *steering,
 			   const carob_flow_packet_t *packet);
 
+/** Who sends resets that no packet asked for; implementations embed it. */
+typedef struct carob_reset_sender carob_reset_sender_t;
+struct carob_reset_sender {
+	/** Sends one; `flow` has the addresses of the flow, no more. */
+	void (*send)(carob_reset_sender_t *sender,
+		     const carob_flow_packet_t *flow, uint32_t seq);
+};
+
+/**
+ * Resets flows whose requests wait for an upstream that has fallen silent, if
+ * their callers may repeat the requests; call it after each batch of packets.
+ */
+void carob_steering_reset_silent(carob_steering_t *steering,
+				 carob_reset_sender_t *sender);
+
 /** Forgets a part of the flows that have ended or are idle; call it often. */
 void carob_steering_sweep(carob_steering_t *steering);
 
--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -57,9 +57,11 @@
 	uint64_t changed_ns;	/* when `state` changed */
 	bool listed;		/* seen by the listing in progress */
 
-	uint32_t open_flows; /* of this instance */
-	uint32_t pending;    /* of those, with a request in progress */
-	uint32_t failures;   /* SYNs without an answer since the last success */
+	uint32_t open_flows;  /* of this instance */
+	uint32_t pending;     /* of those, with a request in progress */
+	uint64_t answered_ns; /* when a caller last acknowledged something */
+	uint32_t failures;    /* SYNs without an answer since then */
+	uint32_t waiting;     /* requests that were repeated since then */
 	uint64_t avoid_until_ns;
 } carob_upstream_t;
 
@@ -70,6 +72,7 @@
 	size_t cap;
 	carob_name_table_t services;
 	carob_name_table_t zones;
+	uint64_t answered_ns; /* when a caller last acknowledged anything */
 } carob_upstream_table_t;
 
 /** @return the steering tag of an upstream's number; never 0 */
--- a/src/flow/catalog.c
+++ b/src/flow/catalog.c
@@ -138,6 +138,7 @@
 	int error = 0;
 
 	out->endpoint = route->endpoint;
+	out->idempotent = route->idempotent;
 	out->share_count = route->share_count;
 	for (size_t i = 0; !error && i < route->share_count; i++) {
 		out->shares[i].weight = route->shares[i].weight;
--- a/src/flow/placement.c
+++ b/src/flow/placement.c
@@ -1,7 +1,7 @@
 #include "carobtrail/placement.h"
 
-#include "carobtrail/log.h"
 #include "carobtrail/rng.h"
+#include "carobtrail/silence.h"
 
 /* An idle flow's share of a request in progress. */
 #define IDLE_FLOW_WEIGHT 0.1
@@ -10,17 +10,12 @@
 #define OTHER_ZONE_MARGIN 1.0
 /* Slots that a cold upstream counts with, as a part of its own. */
 #define COLD_FACTOR 0.6
-/* One lost SYN is no sign; the second in a row is. */
-#define FAILURES_TO_AVOID 2
-/* How long a silent upstream is passed over, for each failure. */
-#define AVOID_NS     (500 * CAROB_NS_PER_MS)
-#define AVOID_NS_MAX (4 * CAROB_NS_PER_S)
 
 /* Preference classes, best first. */
 typedef enum candidate_class {
 	CANDIDATE_GOOD,
 	CANDIDATE_LAPSED,
-	CANDIDATE_SILENT,
+	CANDIDATE_AVOIDED,
 	CANDIDATE_EXCEPTED,
 	CANDIDATE_UNUSABLE,
 } candidate_class_t;
@@ -31,14 +26,6 @@
 	uint64_t spread;
 } candidate_t;
 
-/* A silent upstream gets one flow at a time to show that it is back. */
-static bool is_silent(const carob_upstream_t *upstream, uint64_t now_ns)
-{
-	if (upstream->failures < FAILURES_TO_AVOID)
-		return false;
-	return now_ns < upstream->avoid_until_ns || upstream->pending > 0;
-}
-
 static candidate_class_t class_of(const carob_upstream_t *upstream,
 				  carob_upstream_index_t index,
 				  const carob_placement_query_t *query)
@@ -48,8 +35,8 @@
 		return CANDIDATE_UNUSABLE;
 	if (index == query->except)
 		return CANDIDATE_EXCEPTED;
-	if (is_silent(upstream, query->now_ns))
-		return CANDIDATE_SILENT;
+	if (carob_silence_is_avoided(upstream, query->now_ns))
+		return CANDIDATE_AVOIDED;
 	if (upstream->state == CAROB_UPSTREAM_LAPSED)
 		return CANDIDATE_LAPSED;
 	return CANDIDATE_GOOD;
@@ -132,36 +119,3 @@
 	}
 	return best_index;
 }
-
-void carob_placement_note_failure(carob_upstream_table_t *table,
-				  carob_upstream_index_t index, uint64_t now_ns)
-{
-	carob_upstream_t *upstream = &table->items[index];
-	uint64_t avoid_ns;
-
-	upstream->failures++;
-	if (upstream->failures < FAILURES_TO_AVOID)
-		return;
-	avoid_ns = upstream->failures * AVOID_NS;
-	if (avoid_ns > AVOID_NS_MAX)
-		avoid_ns = AVOID_NS_MAX;
-	upstream->avoid_until_ns = now_ns + avoid_ns;
-	if (upstream->failures == FAILURES_TO_AVOID)
-		CAROB_LOG(CAROB_EV_UPSTREAM_AVOIDED,
-			  CAROB_FIELD_CSTR("upstream", upstream->id),
-			  CAROB_FIELD_U64("failures", upstream->failures),
-			  CAROB_FIELD_U64("pending", upstream->pending));
-}
-
-void carob_placement_note_success(carob_upstream_table_t *table,
-				  carob_upstream_index_t index)
-{
-	carob_upstream_t *upstream = &table->items[index];
-
-	if (upstream->failures >= FAILURES_TO_AVOID)
-		CAROB_LOG(CAROB_EV_UPSTREAM_ANSWERS,
-			  CAROB_FIELD_CSTR("upstream", upstream->id),
-			  CAROB_FIELD_U64("failures", upstream->failures));
-	upstream->failures = 0;
-	upstream->avoid_until_ns = 0;
-}
--- a/src/flow/steering.c
+++ b/src/flow/steering.c
@@ -1,6 +1,8 @@
 #include "carobtrail/steering.h"
 
 #include "carobtrail/errors.h"
+#include "carobtrail/log.h"
+#include "carobtrail/silence.h"
 
 #include <stdlib.h>
 
@@ -25,6 +27,7 @@
 	carob_upstream_table_t *upstreams;
 	carob_name_id_t home_zone;
 	carob_flow_table_t flows;
+	carob_upstream_index_t silent; /* whose flows are to be reset */
 	carob_steering_counters_t counters;
 };
 
@@ -174,6 +177,14 @@
 	forward(out, steering, CAROB_STEER_PLACED, to);
 }
 
+static void note_if_silent(carob_steering_t *steering,
+			   carob_upstream_index_t upstream)
+{
+	if (carob_silence_is_silent(steering->upstreams, upstream,
+				    now_ns(steering)))
+		steering->silent = upstream;
+}
+
 /* The upstream of the first SYN has not answered: another one is tried. */
 static void steer_repeated_syn(carob_steer_result_t *out,
 			       carob_steering_t *steering,
@@ -189,8 +200,9 @@
 		return;
 	}
 	flow->used_ms = now;
-	carob_placement_note_failure(steering->upstreams, flow->upstream,
-				     now_ns(steering));
+	carob_silence_note_syn(steering->upstreams, flow->upstream,
+			       now_ns(steering));
+	note_if_silent(steering, flow->upstream);
 	to = place(steering, route, packet, flow->upstream);
 	if (to == CAROB_UPSTREAM_NONE) {
 		forget(steering, flow);
@@ -244,7 +256,8 @@
 	set_pending(steering, flow, false);
 	carob_histogram_record(&steering->counters.connect_ms,
 			       now - flow->since_ms);
-	carob_placement_note_success(steering->upstreams, flow->upstream);
+	carob_silence_note_answer(steering->upstreams, flow->upstream,
+				  now_ns(steering));
 }
 
 static void track_answer(carob_steering_t *steering, carob_flow_t *flow,
@@ -260,7 +273,19 @@
 	set_pending(steering, flow, false);
 	carob_histogram_record(&steering->counters.answer_ms,
 			       now_ms(steering) - flow->since_ms);
-	carob_placement_note_success(steering->upstreams, flow->upstream);
+	carob_silence_note_answer(steering->upstreams, flow->upstream,
+				  now_ns(steering));
+}
+
+static void note_repeated_request(carob_steering_t *steering,
+				  carob_flow_t *flow)
+{
+	steering->counters.repeated_data++;
+	if (flow->repeated || !flow->pending)
+		return;
+	flow->repeated = true;
+	carob_silence_note_request(steering->upstreams, flow->upstream);
+	note_if_silent(steering, flow->upstream);
 }
 
 static void track_request(carob_steering_t *steering, carob_flow_t *flow,
@@ -271,12 +296,13 @@
 	if (packet->data_bytes == 0)
 		return;
 	if (!is_new) {
-		steering->counters.repeated_data++;
+		note_repeated_request(steering, flow);
 		return;
 	}
 	flow->last_seq = packet->seq;
 	if (!flow->pending)
 		flow->since_ms = now_ms(steering);
+	flow->repeated = false;
 	set_pending(steering, flow, true);
 }
 
@@ -322,13 +348,30 @@
 	track(steering, flow, packet);
 }
 
+/* A request to an upstream that has fallen silent. One that its caller may
+ * not repeat goes on: it may still be answered, late. */
+static bool waits_in_vain(const carob_steering_t *steering,
+			  const carob_flow_packet_t *packet,
+			  const carob_flow_t *flow, const carob_route_t *route)
+{
+	return route && route->idempotent && packet->data_bytes > 0 &&
+	       flow->phase == CAROB_FLOW_OPEN &&
+	       carob_silence_is_silent(steering->upstreams, flow->upstream,
+				       now_ns(steering));
+}
+
 static void steer_known_flow(carob_steer_result_t *out,
 			     carob_steering_t *steering,
 			     const carob_flow_packet_t *packet,
-			     carob_flow_t *flow)
+			     carob_flow_t *flow, const carob_route_t *route)
 {
 	if (flow->phase == CAROB_FLOW_OPENING)
 		open_flow(steering, flow, packet);
+	if (waits_in_vain(steering, packet, flow, route)) {
+		forget(steering, flow);
+		decide(out, steering, CAROB_STEER_UPSTREAM_SILENT);
+		return;
+	}
 	forward(out, steering, CAROB_STEER_KNOWN_FLOW, flow->upstream);
 	track(steering, flow, packet);
 }
@@ -337,7 +380,7 @@
 			   carob_steering_t *steering,
 			   const carob_flow_packet_t *packet)
 {
-	const carob_route_t *route;
+	const carob_route_t *route = NULL;
 	carob_flow_t *flow;
 
 	*out = (carob_steer_result_t){.reset_seq = packet->ack};
@@ -359,11 +402,60 @@
 		return;
 	}
 	if (flow)
-		steer_known_flow(out, steering, packet, flow);
+		steer_known_flow(out, steering, packet, flow, route);
 	else
 		steer_unknown_flow(out, steering, packet);
 }
 
+typedef struct silent_flows {
+	carob_flow_visitor_t visitor;
+	carob_steering_t *steering;
+	carob_reset_sender_t *sender;
+	uint64_t count;
+} silent_flows_t;
+
+static bool reset_waiting(carob_flow_visitor_t *visitor, carob_flow_t *flow)
+{
+	silent_flows_t *silent = (silent_flows_t *)visitor;
+	carob_steering_t *steering = silent->steering;
+	carob_flow_packet_t packet = {
+		.caller = {flow->caller_ip, flow->caller_port},
+		.route = {flow->route_ip, flow->route_port},
+	};
+	const carob_route_t *route = NULL;
+
+	if (flow->upstream != steering->silent || !flow->pending ||
+	    flow->phase != CAROB_FLOW_OPEN)
+		return false;
+	(void)carob_route_table_find(&route, steering->routes, packet.route);
+	if (!route || !route->idempotent)
+		return false;
+	silent->sender->send(silent->sender, &packet, flow->last_ack);
+	silent->count++;
+	unbind(steering, flow);
+	return true;
+}
+
+void carob_steering_reset_silent(carob_steering_t *steering,
+				 carob_reset_sender_t *sender)
+{
+	silent_flows_t silent = {.visitor.visit = reset_waiting,
+				 .steering = steering,
+				 .sender = sender};
+
+	if (steering->silent == CAROB_UPSTREAM_NONE)
+		return;
+	carob_flow_table_sweep(&steering->flows, steering->flows.cap,
+			       &silent.visitor);
+	steering->counters.reasons[CAROB_STEER_UPSTREAM_SILENT] += silent.count;
+	CAROB_LOG(CAROB_EV_UPSTREAM_SILENCE,
+		  CAROB_FIELD_CSTR(
+			  "upstream",
+			  steering->upstreams->items[steering->silent].id),
+		  CAROB_FIELD_U64("flows_reset", silent.count));
+	steering->silent = CAROB_UPSTREAM_NONE;
+}
+
 static uint32_t idle_limit_ms(const carob_steering_t *steering,
 			      const carob_flow_t *flow)
 {
@@ -423,6 +515,7 @@
 	steering->clock = options->clock;
 	steering->routes = options->routes;
 	steering->upstreams = options->upstreams;
+	steering->silent = CAROB_UPSTREAM_NONE;
 	error = carob_name_table_add(&steering->home_zone,
 				     &options->upstreams->zones,
 				     options->home_zone);
--- a/src/flow/upstream_table.c
+++ b/src/flow/upstream_table.c
@@ -124,6 +124,7 @@
 static void forget_failures(carob_upstream_t *upstream)
 {
 	upstream->failures = 0;
+	upstream->waiting = 0;
 	upstream->avoid_until_ns = 0;
 }
 
--- a/src/flowd/front.c
+++ b/src/flowd/front.c
@@ -17,6 +17,7 @@
 
 struct flowd_front {
 	carob_udp_handler_t handler;
+	carob_reset_sender_t resets;
 	carob_udp_hub_t *hub;
 	carob_udp_t *udp;
 	uint16_t reset_port;
@@ -113,6 +114,13 @@
 	carob_udp_send(front->udp, &to, datagram, sizeof(datagram));
 }
 
+static void on_reset(carob_reset_sender_t *sender,
+		     const carob_flow_packet_t *flow, uint32_t seq)
+{
+	send_reset(CAROB_CONTAINER_OF(sender, flowd_front_t, resets), flow,
+		   seq);
+}
+
 static void on_packet(carob_udp_handler_t *handler, const carob_addr_t *from,
 		      carob_str_t data)
 {
@@ -138,6 +146,7 @@
 		send_to_upstream(front, data, result.upstream);
 	else if (result.verdict == CAROB_STEER_RESET)
 		send_reset(front, &packet, result.reset_seq);
+	carob_steering_reset_silent(front->steering, &front->resets);
 }
 
 int flowd_front_new(flowd_front_t **out, carob_udp_hub_t *hub,
@@ -150,6 +159,7 @@
 	if (!front)
 		return carob_error_set(CAROB_ENOMEM, "packet front");
 	front->handler.receive = on_packet;
+	front->resets.send = on_reset;
 	front->hub = hub;
 	front->reset_port = local->port;
 	front->steering = steering;
--- a/tests/flow/placement_test.c
+++ b/tests/flow/placement_test.c
@@ -1,6 +1,7 @@
 #include "flow/flow_fixture.h"
 
 #include "carobtrail/log.h"
+#include "carobtrail/silence.h"
 
 #define ROWS_MAX 6
 #define HOME	 "hou-a"
@@ -130,15 +131,15 @@
 		fixture_put(&table, &rows[i], i + 1);
 	silent = carob_upstream_table_by_id(&table, CAROB_STR("i-1"));
 
-	carob_placement_note_failure(&table, silent, FIXTURE_START);
+	carob_silence_note_syn(&table, silent, FIXTURE_START);
 	CU_ASSERT_EQUAL(choose(&table, "", FIXTURE_START), silent);
-	carob_placement_note_failure(&table, silent, FIXTURE_START);
+	carob_silence_note_syn(&table, silent, FIXTURE_START);
 	CU_ASSERT_NOT_EQUAL(choose(&table, "", FIXTURE_START), silent);
 	CU_ASSERT_EQUAL(choose(&table, "", later), silent);
 	table.items[silent].pending = 1;
 	CU_ASSERT_NOT_EQUAL(choose(&table, "", later), silent);
 	table.items[silent].pending = 0;
-	carob_placement_note_success(&table, silent);
+	carob_silence_note_answer(&table, silent, later);
 	CU_ASSERT_EQUAL(choose(&table, "", FIXTURE_START), silent);
 }
 
--- /dev/null
+++ b/tests/flow/steering_test.c
@@ -0,0 +1,446 @@
+#include "flow/flow_fixture.h"
+
+#include "carobtrail/log.h"
+
+#define MS	  CAROB_NS_PER_MS
+#define PORT	  40001
+#define REPEAT_MS 200
+
+#define SAFE_ROUTE   ((carob_endpoint_t){0xc6120001, 443})
+#define UNSAFE_ROUTE ((carob_endpoint_t){0xc6120002, 443})
+
+/* One instance on a paused clock. */
+typedef struct bed {
+	carob_manual_clock_t clock;
+	carob_route_table_t routes;
+	carob_upstream_table_t upstreams;
+	carob_steering_t *steering;
+	carob_reset_sender_t sender;
+	uint32_t resets; /* that no packet asked for */
+	uint64_t config_version;
+	uint64_t revision;
+} bed_t;
+
+static void count_reset(carob_reset_sender_t *sender,
+			const carob_flow_packet_t *flow, uint32_t seq)
+{
+	bed_t *bed = CAROB_CONTAINER_OF(sender, bed_t, sender);
+
+	(void)flow;
+	(void)seq;
+	bed->resets++;
+}
+
+static carob_route_t route_to(bed_t *bed, carob_endpoint_t endpoint,
+			      const char *service, bool idempotent)
+{
+	carob_route_t route = {
+		.endpoint = endpoint,
+		.idempotent = idempotent,
+		.share_count = 1,
+		.shares = {{.weight = 1}},
+	};
+
+	CU_ASSERT_EQUAL(carob_name_table_add(&route.shares[0].service,
+					     &bed->upstreams.services,
+					     carob_str_from(service)),
+			0);
+	return route;
+}
+
+static void configure(bed_t *bed, carob_route_t *routes, size_t count)
+{
+	carob_route_config_t config = {
+		.version = ++bed->config_version,
+		.idle_timeout_ms = 15000,
+		.count = count,
+		.routes = routes,
+	};
+
+	CU_ASSERT_EQUAL(carob_route_table_apply(&bed->routes, &config), 0);
+}
+
+static void put(bed_t *bed, const fixture_upstream_t *row)
+{
+	fixture_put(&bed->upstreams, row, ++bed->revision);
+}
+
+static void bed_init(bed_t *bed)
+{
+	carob_steering_options_t options = CAROB_STEERING_OPTIONS_INIT;
+	carob_route_t routes[2];
+
+	memset(bed, 0, sizeof(*bed));
+	carob_manual_clock_init(&bed->clock, FIXTURE_START);
+	options.clock = &bed->clock.clock;
+	options.routes = &bed->routes;
+	options.upstreams = &bed->upstreams;
+	options.home_zone = CAROB_STR("hou-a");
+	CU_ASSERT_EQUAL_FATAL(carob_steering_new(&bed->steering, &options), 0);
+	bed->sender.send = count_reset;
+	routes[0] = route_to(bed, SAFE_ROUTE, "desk", true);
+	routes[1] = route_to(bed, UNSAFE_ROUTE, "desk", false);
+	configure(bed, routes, CAROB_ARRAY_SIZE(routes));
+	put(bed, &(fixture_upstream_t)UPSTREAM("i-1", 1, "desk", "hou-a", 2));
+	put(bed, &(fixture_upstream_t)UPSTREAM("i-2", 2, "desk", "hou-b", 2));
+}
+
+static void bed_dispose(bed_t *bed)
+{
+	carob_steering_free(bed->steering);
+	carob_route_table_dispose(&bed->routes);
+	carob_upstream_table_dispose(&bed->upstreams);
+}
+
+static void pass(bed_t *bed, uint64_t ms)
+{
+	carob_manual_clock_advance(&bed->clock, ms * MS);
+}
+
+static carob_steer_result_t steer(bed_t *bed, carob_flow_packet_t packet)
+{
+	carob_steer_result_t result;
+
+	carob_steering_packet(&result, bed->steering, &packet);
+	carob_steering_reset_silent(bed->steering, &bed->sender);
+	return result;
+}
+
+static void expect(bed_t *bed, carob_flow_packet_t packet,
+		   carob_steer_reason_t reason, const char *upstream)
+{
+	carob_steer_result_t result = steer(bed, packet);
+
+	CU_ASSERT_EQUAL(result.reason, reason);
+	CU_ASSERT_STRING_EQUAL(result.upstream ? result.upstream->id : "",
+			       upstream);
+	if (result.reason != reason)
+		printf("\n%s: expected %s",
+		       carob_steer_reason_text(result.reason),
+		       carob_steer_reason_text(reason));
+}
+
+/* Opens a flow on upstream i-1 and sends a request of 10 bytes. */
+static void open_with_request(bed_t *bed, uint16_t port)
+{
+	(void)steer(bed, fixture_syn(port, 0));
+	(void)steer(bed, fixture_data(port, 1, 0, 10, 5000));
+}
+
+static void test_a_flow_stays_on_its_upstream(void)
+{
+	bed_t bed;
+
+	bed_init(&bed);
+	expect(&bed, fixture_syn(PORT, 0), CAROB_STEER_PLACED, "i-1");
+	expect(&bed, fixture_data(PORT, 1, 0, 10, 5000), CAROB_STEER_KNOWN_FLOW,
+	       "i-1");
+	put(&bed, &(fixture_upstream_t)UPSTREAM("i-1", 1, "desk", "hou-a", 2,
+						.draining = true));
+	expect(&bed, fixture_data(PORT, 1, 10, 10, 5100),
+	       CAROB_STEER_KNOWN_FLOW, "i-1");
+	expect(&bed, fixture_syn(PORT + 1, 0), CAROB_STEER_PLACED, "i-2");
+	carob_upstream_table_remove(&bed.upstreams, CAROB_STR("i-1"),
+				    ++bed.revision, CAROB_UPSTREAM_GONE,
+				    FIXTURE_START);
+	expect(&bed, fixture_data(PORT, 1, 20, 0, 5200), CAROB_STEER_KNOWN_FLOW,
+	       "i-1");
+	bed_dispose(&bed);
+}
+
+/* Copies that waited in one queue say nothing of the upstream; one that comes
+ * after the caller's pause goes elsewhere; whoever answers first has the flow,
+ * whatever a late answer of the other one makes the caller write. */
+static void test_copies_of_a_syn(void)
+{
+	bed_t bed;
+
+	bed_init(&bed);
+	expect(&bed, fixture_syn(PORT, 0), CAROB_STEER_PLACED, "i-1");
+	pass(&bed, 5);
+	expect(&bed, fixture_syn(PORT, 1), CAROB_STEER_REPEATED, "i-1");
+	pass(&bed, REPEAT_MS);
+	expect(&bed, fixture_syn(PORT, 2), CAROB_STEER_PLACED_AGAIN, "i-2");
+	expect(&bed, fixture_data(PORT, 1, 0, 10, 5000), CAROB_STEER_KNOWN_FLOW,
+	       "i-1");
+	expect(&bed, fixture_data(PORT, 2, 10, 10, 5000),
+	       CAROB_STEER_KNOWN_FLOW, "i-1");
+	pass(&bed, REPEAT_MS);
+	expect(&bed, fixture_syn(PORT, 2), CAROB_STEER_REPEATED, "i-1");
+	bed_dispose(&bed);
+}
+
+/* A copy may reach an instance that has just learnt that the first upstream
+ * drains, and never saw the first SYN. */
+static void test_a_copy_when_the_first_upstream_drains(void)
+{
+	bed_t bed;
+
+	bed_init(&bed);
+	put(&bed, &(fixture_upstream_t)UPSTREAM("i-1", 1, "desk", "hou-a", 2,
+						.draining = true));
+	expect(&bed, fixture_syn(PORT, 1), CAROB_STEER_PLACED, "i-2");
+	expect(&bed, fixture_data(PORT, 1, 0, 10, 5000), CAROB_STEER_KNOWN_FLOW,
+	       "i-1");
+	bed_dispose(&bed);
+}
+
+static void test_flows_of_other_instances(void)
+{
+	bed_t bed;
+
+	bed_init(&bed);
+	expect(&bed, fixture_data(PORT, 2, 0, 10, 5000), CAROB_STEER_BY_TAG,
+	       "i-2");
+	expect(&bed, fixture_data(PORT, 2, 10, 0, 5100), CAROB_STEER_KNOWN_FLOW,
+	       "i-2");
+	expect(&bed, fixture_data(PORT + 1, 77, 0, 10, 5000),
+	       CAROB_STEER_UNKNOWN_TAG, "");
+	expect(&bed, fixture_data(PORT + 2, 0, 0, 10, 5000),
+	       CAROB_STEER_UNKNOWN_TAG, "");
+	bed_dispose(&bed);
+}
+
+static void test_a_port_that_is_used_again(void)
+{
+	carob_flow_packet_t syn = fixture_syn(PORT, 0);
+	bed_t bed;
+
+	bed_init(&bed);
+	open_with_request(&bed, PORT);
+	syn.seq += 100000;
+	expect(&bed, syn, CAROB_STEER_PLACED, "i-1");
+	CU_ASSERT_EQUAL(carob_steering_flow_count(bed.steering), 1);
+	CU_ASSERT_EQUAL(bed.upstreams.items[0].open_flows, 1);
+	bed_dispose(&bed);
+}
+
+static void test_routes_come_and_go(void)
+{
+	carob_flow_packet_t other = fixture_syn(PORT, 0);
+	carob_route_t routes[2];
+	bed_t bed;
+
+	bed_init(&bed);
+	put(&bed, &(fixture_upstream_t)UPSTREAM("i-3", 3, "yard", "hou-a", 2));
+	other.route.port = 99;
+	expect(&bed, other, CAROB_STEER_NO_ROUTE, "");
+	open_with_request(&bed, PORT);
+
+	routes[0] = route_to(&bed, UNSAFE_ROUTE, "desk", false);
+	configure(&bed, routes, 1);
+	expect(&bed, fixture_data(PORT, 1, 10, 10, 5000),
+	       CAROB_STEER_ROUTE_DROPPED, "");
+	expect(&bed, fixture_syn(PORT + 1, 0), CAROB_STEER_NO_ROUTE, "");
+
+	routes[1] = route_to(&bed, SAFE_ROUTE, "yard", true);
+	configure(&bed, routes, 2);
+	expect(&bed, fixture_syn(PORT + 2, 0), CAROB_STEER_PLACED, "i-3");
+	bed_dispose(&bed);
+}
+
+static void test_nobody_to_serve(void)
+{
+	bed_t bed;
+
+	bed_init(&bed);
+	put(&bed, &(fixture_upstream_t)UPSTREAM("i-1", 1, "desk", "hou-a", 2,
+						.draining = true));
+	put(&bed, &(fixture_upstream_t)UPSTREAM("i-2", 2, "desk", "hou-b", 2,
+						.draining = true));
+	expect(&bed, fixture_syn(PORT, 0), CAROB_STEER_NO_UPSTREAM, "");
+	CU_ASSERT_EQUAL(carob_steering_flow_count(bed.steering), 0);
+	bed_dispose(&bed);
+}
+
+static void test_without_a_configuration(void)
+{
+	bed_t bed;
+
+	bed_init(&bed);
+	carob_route_table_dispose(&bed.routes);
+	expect(&bed, fixture_syn(PORT, 0), CAROB_STEER_NO_CONFIG, "");
+	expect(&bed, fixture_data(PORT, 1, 0, 10, 5000), CAROB_STEER_BY_TAG,
+	       "i-1");
+	bed_dispose(&bed);
+}
+
+static void test_a_forged_answer(void)
+{
+	carob_flow_packet_t packet = fixture_syn(PORT, 0);
+	bed_t bed;
+
+	bed_init(&bed);
+	packet.has_ack = true;
+	expect(&bed, packet, CAROB_STEER_FORGED, "");
+	bed_dispose(&bed);
+}
+
+/* The address may belong to another service by now: the number in front of
+ * the packet keeps it away, so packets go on to what the tag names. */
+static void test_an_upstream_that_starts_again(void)
+{
+	carob_upstream_entry_t entry = {
+		.id = CAROB_STR("i-1"),
+		.number = 1,
+		.service = CAROB_STR("desk"),
+		.zone = CAROB_STR("hou-a"),
+		.endpoint = {0x0a800077, 9090},
+		.slots = 2,
+		.started_ms = 1700000000000,
+	};
+	carob_steer_result_t result;
+	bed_t bed;
+
+	bed_init(&bed);
+	(void)steer(&bed, fixture_syn(PORT, 0));
+	CU_ASSERT_EQUAL(carob_upstream_table_put(&bed.upstreams, &entry,
+						 ++bed.revision, FIXTURE_START),
+			0);
+	result = steer(&bed, fixture_data(PORT, 1, 0, 10, 5000));
+	CU_ASSERT_EQUAL(result.verdict, CAROB_STEER_FORWARD);
+	CU_ASSERT_EQUAL(result.upstream->endpoint.port, 9090);
+	bed_dispose(&bed);
+}
+
+static void test_load_of_requests(void)
+{
+	const carob_upstream_t *upstream;
+	bed_t bed;
+
+	bed_init(&bed);
+	upstream = &bed.upstreams.items[0];
+	(void)steer(&bed, fixture_syn(PORT, 0));
+	CU_ASSERT_EQUAL(upstream->pending, 1);
+	(void)steer(&bed, fixture_data(PORT, 1, 0, 0, 5000));
+	CU_ASSERT_EQUAL(upstream->pending, 0);
+	CU_ASSERT_EQUAL(upstream->open_flows, 1);
+	(void)steer(&bed, fixture_data(PORT, 1, 0, 10, 5000));
+	CU_ASSERT_EQUAL(upstream->pending, 1);
+	(void)steer(&bed, fixture_data(PORT, 1, 0, 10, 5000));
+	CU_ASSERT_EQUAL(upstream->pending, 1);
+	(void)steer(&bed, fixture_data(PORT, 1, 10, 0, 5600));
+	CU_ASSERT_EQUAL(upstream->pending, 0);
+	pass(&bed, 60000);
+	for (int i = 0; i < 20; i++)
+		carob_steering_sweep(bed.steering);
+	CU_ASSERT_EQUAL(upstream->open_flows, 0);
+	CU_ASSERT_EQUAL(carob_steering_flow_count(bed.steering), 0);
+	bed_dispose(&bed);
+}
+
+static void test_the_end_of_flows(void)
+{
+	carob_flow_packet_t packet;
+	bed_t bed;
+
+	bed_init(&bed);
+	open_with_request(&bed, PORT);
+	packet = fixture_data(PORT, 1, 10, 0, 5600);
+	packet.fin = true;
+	expect(&bed, packet, CAROB_STEER_KNOWN_FLOW, "i-1");
+	CU_ASSERT_EQUAL(bed.upstreams.items[0].open_flows, 0);
+	expect(&bed, fixture_data(PORT, 1, 11, 0, 5601), CAROB_STEER_KNOWN_FLOW,
+	       "i-1");
+	open_with_request(&bed, PORT + 1);
+	packet = fixture_data(PORT + 1, 1, 10, 0, 5000);
+	packet.rst = true;
+	expect(&bed, packet, CAROB_STEER_KNOWN_FLOW, "i-1");
+	CU_ASSERT_EQUAL(bed.upstreams.items[0].open_flows, 0);
+	CU_ASSERT_EQUAL(bed.upstreams.items[0].pending, 0);
+	bed_dispose(&bed);
+}
+
+/* Two callers repeat their SYNs to i-1, which holds a request of another. */
+static void silence_first_upstream(bed_t *bed, bool others_answer)
+{
+	(void)steer(bed, fixture_syn(PORT + 1, 0));
+	(void)steer(bed, fixture_syn(PORT + 2, 0));
+	(void)steer(bed, fixture_data(PORT + 9, 2, 0, 10, 5000));
+	pass(bed, 300);
+	if (others_answer)
+		(void)steer(bed, fixture_data(PORT + 9, 2, 10, 0, 5600));
+	(void)steer(bed, fixture_syn(PORT + 1, 1));
+	(void)steer(bed, fixture_syn(PORT + 2, 1));
+}
+
+static const struct {
+	const char *name;
+	carob_endpoint_t route;
+	bool others_answer;
+	uint32_t resets;
+	carob_steer_reason_t next_request;
+} silences[] = {
+	{"a request that may be repeated", SAFE_ROUTE, true, 1,
+	 CAROB_STEER_BY_TAG},
+	{"a request that may not be repeated", UNSAFE_ROUTE, true, 0,
+	 CAROB_STEER_KNOWN_FLOW},
+	{"nobody answers: the trouble is here", SAFE_ROUTE, false, 0,
+	 CAROB_STEER_KNOWN_FLOW},
+};
+
+static void test_silent_upstreams(void)
+{
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(silences); i++) {
+		carob_flow_packet_t syn = fixture_syn(PORT, 0);
+		carob_flow_packet_t data = fixture_data(PORT, 1, 0, 10, 5000);
+		bed_t bed;
+
+		bed_init(&bed);
+		syn.route = silences[i].route;
+		data.route = silences[i].route;
+		(void)steer(&bed, syn);
+		(void)steer(&bed, data);
+		silence_first_upstream(&bed, silences[i].others_answer);
+		CU_ASSERT_EQUAL(bed.resets, silences[i].resets);
+		if (bed.resets != silences[i].resets)
+			printf("\n%s: %u resets", silences[i].name, bed.resets);
+		data.seq += 10;
+		CU_ASSERT_EQUAL(steer(&bed, data).reason,
+				silences[i].next_request);
+		bed_dispose(&bed);
+	}
+}
+
+/* An idle flow on a silent upstream is reset when its next request comes, not
+ * when the request's time has passed. */
+static void test_a_request_to_a_silent_upstream(void)
+{
+	bed_t bed;
+
+	bed_init(&bed);
+	open_with_request(&bed, PORT);
+	(void)steer(&bed, fixture_data(PORT, 1, 10, 0, 5600));
+	silence_first_upstream(&bed, true);
+	CU_ASSERT_EQUAL(bed.resets, 0);
+	expect(&bed, fixture_data(PORT, 1, 10, 10, 5600),
+	       CAROB_STEER_UPSTREAM_SILENT, "");
+	bed_dispose(&bed);
+}
+
+int main(void)
+{
+	static const test_case_t cases[] = {
+		{"a flow stays on its upstream",
+		 test_a_flow_stays_on_its_upstream},
+		{"copies of a SYN", test_copies_of_a_syn},
+		{"a copy when the first upstream drains",
+		 test_a_copy_when_the_first_upstream_drains},
+		{"flows of other instances", test_flows_of_other_instances},
+		{"a port that is used again", test_a_port_that_is_used_again},
+		{"routes come and go", test_routes_come_and_go},
+		{"nobody to serve", test_nobody_to_serve},
+		{"without a configuration", test_without_a_configuration},
+		{"a forged answer", test_a_forged_answer},
+		{"an upstream that starts again",
+		 test_an_upstream_that_starts_again},
+		{"load of requests", test_load_of_requests},
+		{"the end of flows", test_the_end_of_flows},
+		{"silent upstreams", test_silent_upstreams},
+		{"a request to a silent upstream",
+		 test_a_request_to_a_silent_upstream},
+	};
+
+	carob_log_configure("test", NULL, CAROB_LOG_ERROR, NULL);
+	return run_tests("steering", cases, CAROB_ARRAY_SIZE(cases));
+}
