--- /dev/null
+++ b/tests/flow/flow_table_test.c
@@ -0,0 +1,109 @@
+#include "carobtrail/flow_table.h"
+
+#include "carobtrail/rng.h"
+#include "test_runner.h"
+
+#define FLOWS 5000
+#define STEPS 40000
+
+static carob_flow_packet_t packet_of(uint32_t number)
+{
+	return (carob_flow_packet_t){
+		.caller = {0x64400000 + number / 60000,
+			   (uint16_t)(1000 + number % 60000)},
+		.route = {0xc6120001, 443},
+	};
+}
+
+/* Adds and removes at random and compares with a plain array. */
+static void test_against_an_array(void)
+{
+	static bool expected[FLOWS];
+	carob_flow_table_t table = {0};
+	carob_rng_t rng;
+	size_t count = 0;
+
+	carob_rng_init(&rng, 1);
+	for (int i = 0; i < STEPS; i++) {
+		uint32_t number = carob_rng_below(&rng, FLOWS);
+		carob_flow_packet_t packet = packet_of(number);
+		carob_flow_t *flow = carob_flow_table_find(&table, &packet);
+
+		CU_ASSERT_EQUAL_FATAL(flow != NULL, expected[number]);
+		if (flow) {
+			CU_ASSERT_EQUAL(flow->first_seq, number);
+			carob_flow_table_remove(&table, flow);
+			count--;
+		} else {
+			CU_ASSERT_EQUAL_FATAL(
+				carob_flow_table_add(&flow, &table, &packet),
+				0);
+			flow->first_seq = number;
+			count++;
+		}
+		expected[number] = !expected[number];
+		CU_ASSERT_EQUAL(table.count, count);
+	}
+	carob_flow_table_dispose(&table);
+}
+
+typedef struct odd_remover {
+	carob_flow_visitor_t visitor;
+	size_t visited;
+} odd_remover_t;
+
+static bool remove_odd(carob_flow_visitor_t *visitor, carob_flow_t *flow)
+{
+	((odd_remover_t *)visitor)->visited++;
+	return flow->first_seq % 2 == 1;
+}
+
+/* Sweeps in parts reach every flow, also those that removals move. */
+static void test_sweeps_in_parts(void)
+{
+	odd_remover_t remover = {.visitor.visit = remove_odd};
+	carob_flow_table_t table = {0};
+	carob_flow_t *flow;
+
+	for (uint32_t i = 0; i < FLOWS; i++) {
+		carob_flow_packet_t packet = packet_of(i);
+
+		CU_ASSERT_EQUAL_FATAL(
+			carob_flow_table_add(&flow, &table, &packet), 0);
+		flow->first_seq = i;
+	}
+	for (int i = 0; i < 40; i++)
+		carob_flow_table_sweep(&table, table.cap / 16,
+				       &remover.visitor);
+	CU_ASSERT_EQUAL(table.count, FLOWS / 2);
+	for (uint32_t i = 0; i < FLOWS; i++) {
+		carob_flow_packet_t packet = packet_of(i);
+
+		CU_ASSERT_EQUAL(carob_flow_table_find(&table, &packet) != NULL,
+				i % 2 == 0);
+	}
+	carob_flow_table_dispose(&table);
+}
+
+static void test_an_empty_table(void)
+{
+	carob_flow_packet_t packet = packet_of(1);
+	odd_remover_t remover = {.visitor.visit = remove_odd};
+	carob_flow_table_t table = {0};
+
+	CU_ASSERT_PTR_NULL(carob_flow_table_find(&table, &packet));
+	carob_flow_table_sweep(&table, 100, &remover.visitor);
+	CU_ASSERT_EQUAL(remover.visited, 0);
+	carob_flow_table_dispose(&table);
+}
+
+int main(void)
+{
+	static const test_case_t cases[] = {
+		{"against an array", test_against_an_array},
+		{"sweeps in parts", test_sweeps_in_parts},
+		{"an empty table", test_an_empty_table},
+	};
+
+	return run_tests("flow table", cases, CAROB_ARRAY_SIZE(cases));
+}
