--- a/src/flow/steering.c
+++ b/src/flow/steering.c
@@ -448,11 +448,13 @@
 	carob_flow_table_sweep(&steering->flows, steering->flows.cap,
 			       &silent.visitor);
 	steering->counters.reasons[CAROB_STEER_UPSTREAM_SILENT] += silent.count;
-	CAROB_LOG(CAROB_EV_UPSTREAM_SILENCE,
-		  CAROB_FIELD_CSTR(
-			  "upstream",
-			  steering->upstreams->items[steering->silent].id),
-		  CAROB_FIELD_U64("flows_reset", silent.count));
+	if (silent.count > 0)
+		CAROB_LOG(
+			CAROB_EV_UPSTREAM_SILENCE,
+			CAROB_FIELD_CSTR(
+				"upstream",
+				steering->upstreams->items[steering->silent].id),
+			CAROB_FIELD_U64("flows_reset", silent.count));
 	steering->silent = CAROB_UPSTREAM_NONE;
 }
 
