soak: real processes between emulated callers, routers and hosts

carob-store stands in for the platform's store, carob-flows for callers, routers, hosts and the operator; it judges nine promises from what callers and hosts see. soak/soak adds faults from outside: signals in series, pauses, store outages of four kinds, lost history, a proxy that loses one direction.

It is ready now once it could place a flow; the test of the catalogue fails first.

--- a/include/carobtrail/catalog.h
+++ b/include/carobtrail/catalog.h
@@ -160,7 +160,11 @@
 void carob_catalog_set_spans(carob_catalog_t *catalog, uint32_t contact_ms,
 			     uint32_t apply_ms);
 
-/** @return whether there are a configuration and a whole listing */
+/**
+ * @return whether flows could be placed since the start: there were a whole
+ *         listing, a configuration and an upstream. It stays so when entries
+ *         lapse, since flows that are open still need the instance.
+ */
 bool carob_catalog_complete(const carob_catalog_t *catalog);
 
 /** @return the age of the last answer from the platform, in ms */
--- /dev/null
+++ b/src/emulator/flows/bed.h
@@ -0,0 +1,83 @@
+/**
+ * @file bed.h
+ * All parts of a run: zones with instances under test, hosts, callers, the
+ * configuration, and the judge.
+ */
+#ifndef CAROB_EMULATOR_FLOWS_BED_H
+#define CAROB_EMULATOR_FLOWS_BED_H
+
+#include "carobtrail/rng.h"
+#include "judge.h"
+#include "net/program.h"
+#include "wire.h"
+
+#define BED_ZONES_MAX  8
+#define BED_SERVICES   2 /* requests and downloads */
+#define BED_ROUTES_MAX 16
+#define BED_CONTACT_MS 4000
+#define BED_APPLY_MS   3000
+#define BED_DRAIN_MS   3000
+
+typedef struct bed bed_t;
+typedef struct router router_t;
+typedef struct callers callers_t;
+typedef struct operations operations_t;
+struct host;
+
+/** One instance under test. */
+typedef struct bed_instance {
+	size_t zone;
+	carob_addr_t packets;
+	carob_addr_t readiness;
+} bed_instance_t;
+
+/** One route, now or before. */
+typedef struct bed_route {
+	carob_endpoint_t endpoint;
+	size_t service;
+	bool idempotent;
+	bool listed;
+	uint64_t changed_ns; /* when the store took that it is listed or not */
+} bed_route_t;
+
+/** A run. */
+struct bed {
+	carob_program_t program;
+	carob_rng_t rng;
+	judge_t judge;
+	size_t zone_count;
+	char zones[BED_ZONES_MAX][32];
+	size_t instance_count;
+	bed_instance_t instances[JUDGE_INSTANCES_MAX];
+	bed_route_t routes[BED_ROUTES_MAX];
+	size_t route_count;
+	struct host *hosts[JUDGE_HOSTS_MAX];
+	size_t host_count;  /* over the whole run; ended ones are NULL */
+	carob_addr_t store; /* its command address */
+	carob_addr_t base;  /* addresses of hosts and callers begin here */
+	uint32_t loss_per_mille;
+	size_t cut_zone; /* partitioned from the others; zone_count: none */
+	router_t *router;
+	callers_t *callers;
+	operations_t *operations;
+};
+
+/** @return monotonic time */
+static inline uint64_t bed_now_ns(const bed_t *bed)
+{
+	return carob_clock_now_ns(bed->judge.clock);
+}
+
+/** @return the instance that a datagram came from, JUDGE_INSTANCES_MAX: none */
+size_t bed_instance_of(const bed_t *bed, const carob_addr_t *from);
+
+/** @return the address `offset` addresses behind the bed's first one */
+carob_addr_t bed_addr(const bed_t *bed, uint32_t offset, uint16_t port);
+
+/** @return whether a datagram is lost on its way */
+bool bed_loses(bed_t *bed, size_t from_zone, size_t to_zone);
+
+/** @return the route of an endpoint, listed or not, or NULL */
+bed_route_t *bed_route_of(bed_t *bed, carob_endpoint_t endpoint);
+
+#endif
--- /dev/null
+++ b/src/emulator/flows/router.c
@@ -0,0 +1,158 @@
+#include "router.h"
+
+#include "carobtrail/errors.h"
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <stdlib.h>
+
+#define CHECK_NS     (500 * CAROB_NS_PER_MS)
+#define TIMEOUT_US   400000
+#define MISSES_TO_GO 2
+
+typedef struct target {
+	router_t *router;
+	size_t instance;
+	struct evhttp_connection *connection; /* of the check in progress */
+	bool answered;
+	uint32_t misses;
+	bool in_rotation;
+} target_t;
+
+struct router {
+	bed_t *bed;
+	carob_timer_t check;
+	target_t targets[JUDGE_INSTANCES_MAX];
+};
+
+static void on_answer(struct evhttp_request *request, void *arg)
+{
+	target_t *target = arg;
+
+	if (request && evhttp_request_get_response_code(request) == HTTP_OK)
+		target->answered = true;
+}
+
+/* Judges the last check and begins the next one. */
+static void check(target_t *target)
+{
+	const bed_instance_t *instance =
+		&target->router->bed->instances[target->instance];
+	struct timeval timeout = {.tv_usec = TIMEOUT_US};
+	char ip[INET_ADDRSTRLEN] = "";
+	struct evhttp_request *request;
+
+	if (target->answered) {
+		target->misses = 0;
+		target->in_rotation = true;
+	} else if (++target->misses >= MISSES_TO_GO) {
+		target->in_rotation = false;
+	}
+	target->answered = false;
+	if (target->connection)
+		evhttp_connection_free(target->connection);
+	(void)inet_ntop(AF_INET, instance->readiness.ip, ip, sizeof(ip));
+	target->connection = evhttp_connection_base_new(
+		carob_loop_base(target->router->bed->program.loop), NULL, ip,
+		instance->readiness.port);
+	request = evhttp_request_new(on_answer, target);
+	if (!target->connection || !request)
+		return;
+	evhttp_connection_set_timeout_tv(target->connection, &timeout);
+	(void)evhttp_make_request(target->connection, request, EVHTTP_REQ_GET,
+				  "/v1/ready");
+}
+
+static void on_check(carob_timer_t *timer)
+{
+	router_t *router = CAROB_CONTAINER_OF(timer, router_t, check);
+
+	for (size_t i = 0; i < router->bed->instance_count; i++)
+		check(&router->targets[i]);
+	(void)carob_timer_arm(router->bed->program.kernel, timer,
+			      bed_now_ns(router->bed) + CHECK_NS);
+}
+
+int router_new(router_t **out, bed_t *bed)
+{
+	router_t *router = calloc(1, sizeof(*router));
+
+	if (!router)
+		return carob_error_set(CAROB_ENOMEM, "router");
+	router->bed = bed;
+	router->check.fire = on_check;
+	for (size_t i = 0; i < bed->instance_count; i++) {
+		router->targets[i].router = router;
+		router->targets[i].instance = i;
+	}
+	*out = router;
+	on_check(&router->check);
+	return 0;
+}
+
+void router_free(router_t *router)
+{
+	if (!router)
+		return;
+	carob_timer_cancel(router->bed->program.kernel, &router->check);
+	for (size_t i = 0; i < router->bed->instance_count; i++)
+		if (router->targets[i].connection)
+			evhttp_connection_free(router->targets[i].connection);
+	free(router);
+}
+
+/* A zone with fewer than half of its instances in rotation uses all. */
+static bool uses_all(const router_t *router, size_t zone)
+{
+	size_t all = 0;
+	size_t ready = 0;
+
+	for (size_t i = 0; i < router->bed->instance_count; i++) {
+		if (router->bed->instances[i].zone != zone)
+			continue;
+		all++;
+		ready += router->targets[i].in_rotation;
+	}
+	return ready > 0 && 2 * ready < all;
+}
+
+static size_t choose_in(const router_t *router, size_t zone, uint64_t flow_hash)
+{
+	size_t best = router->bed->instance_count;
+	bool all = uses_all(router, zone);
+	uint64_t best_hash = 0;
+
+	for (size_t i = 0; i < router->bed->instance_count; i++) {
+		uint64_t hash = carob_hash_u64(flow_hash + i);
+
+		if (router->bed->instances[i].zone != zone ||
+		    (!all && !router->targets[i].in_rotation) ||
+		    (best != router->bed->instance_count && hash < best_hash))
+			continue;
+		best = i;
+		best_hash = hash;
+	}
+	return best;
+}
+
+size_t router_choose(const router_t *router, size_t zone, uint64_t flow_hash)
+{
+	size_t zones = router->bed->zone_count;
+
+	for (size_t i = 0; i < zones; i++) {
+		size_t found = choose_in(router, (zone + i) % zones, flow_hash);
+
+		if (found != router->bed->instance_count)
+			return found;
+	}
+	return router->bed->instance_count;
+}
+
+bool router_any(const router_t *router)
+{
+	for (size_t i = 0; i < router->bed->instance_count; i++)
+		if (router->targets[i].in_rotation)
+			return true;
+	return false;
+}
--- /dev/null
+++ b/src/emulator/store/items.c
@@ -0,0 +1,229 @@
+#include "items.h"
+
+#include "carobtrail/errors.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FIRST_CAP  64
+#define PAGE_ITEMS 50 /* small, so that tests see several pages */
+
+void store_items_init(store_items_t *items)
+{
+	memset(items, 0, sizeof(*items));
+	items->revision = 1;
+}
+
+static char *encode(carob_str_t value)
+{
+	size_t len = sodium_base64_encoded_len(value.len,
+					       sodium_base64_VARIANT_ORIGINAL);
+	char *text = malloc(len);
+
+	if (text)
+		sodium_bin2base64(text, len, (const uint8_t *)value.ptr,
+				  value.len, sodium_base64_VARIANT_ORIGINAL);
+	return text;
+}
+
+static void item_clear(store_item_t *item)
+{
+	free(item->key);
+	free(item->value);
+	memset(item, 0, sizeof(*item));
+}
+
+static void remember(store_items_t *items, const store_item_t *change)
+{
+	size_t at;
+
+	if (items->history_count == STORE_HISTORY_MAX) {
+		store_item_t *first = &items->history[items->history_first];
+
+		items->forgotten = first->revision;
+		item_clear(first);
+		items->history_first =
+			(items->history_first + 1) % STORE_HISTORY_MAX;
+		items->history_count--;
+	}
+	at = (items->history_first + items->history_count++) %
+	     STORE_HISTORY_MAX;
+	items->history[at].key = strdup(change->key);
+	items->history[at].value = change->value ? strdup(change->value) : NULL;
+	items->history[at].revision = change->revision;
+}
+
+/* @return where the key is, or belongs */
+static size_t position_of(const store_items_t *items, const char *key,
+			  bool *found)
+{
+	size_t at = 0;
+
+	while (at < items->count && strcmp(items->items[at].key, key) < 0)
+		at++;
+	*found = at < items->count && strcmp(items->items[at].key, key) == 0;
+	return at;
+}
+
+static int make_room(store_items_t *items)
+{
+	size_t cap = items->cap ? 2 * items->cap : FIRST_CAP;
+	store_item_t *grown;
+
+	if (items->count < items->cap)
+		return 0;
+	grown = realloc(items->items, cap * sizeof(*grown));
+	if (!grown)
+		return carob_error_set(CAROB_ENOMEM, "store");
+	items->items = grown;
+	items->cap = cap;
+	return 0;
+}
+
+static void take_out(store_items_t *items, size_t at)
+{
+	item_clear(&items->items[at]);
+	items->count--;
+	memmove(&items->items[at], &items->items[at + 1],
+		(items->count - at) * sizeof(*items->items));
+}
+
+static int put_in(store_items_t *items, size_t at, const store_item_t *item)
+{
+	int error = make_room(items);
+
+	if (error)
+		return error;
+	memmove(&items->items[at + 1], &items->items[at],
+		(items->count - at) * sizeof(*items->items));
+	items->items[at] = *item;
+	items->count++;
+	return 0;
+}
+
+int store_items_write(store_items_t *items, carob_str_t key, carob_str_t value)
+{
+	store_item_t item = {.key = strndup(key.ptr, key.len),
+			     .value = value.ptr ? encode(value) : NULL,
+			     .revision = items->revision + 1};
+	bool found;
+	size_t at = position_of(items, item.key, &found);
+
+	if (!value.ptr && !found) {
+		item_clear(&item);
+		return 0;
+	}
+	items->revision++;
+	remember(items, &item);
+	if (found)
+		take_out(items, at);
+	if (value.ptr)
+		return put_in(items, at, &item);
+	item_clear(&item);
+	return 0;
+}
+
+void store_items_compact(store_items_t *items)
+{
+	while (items->history_count > 0) {
+		item_clear(&items->history[items->history_first]);
+		items->history_first =
+			(items->history_first + 1) % STORE_HISTORY_MAX;
+		items->history_count--;
+	}
+	items->forgotten = items->revision;
+}
+
+static bool has_prefix(const char *key, const char *prefix)
+{
+	return strncmp(key, prefix, strlen(prefix)) == 0;
+}
+
+static int append_item(carob_buf_t *out, const store_item_t *item, bool first)
+{
+	if (!item->value)
+		return carob_buf_printf(
+			out,
+			"%s{\"key\":\"%s\",\"revision\":%" PRIu64
+			",\"tombstone\":true}",
+			first ? "" : ",", item->key, item->revision);
+	return carob_buf_printf(out,
+				"%s{\"key\":\"%s\",\"value\":\"%s\","
+				"\"revision\":%" PRIu64 ",\"created\":%" PRIu64
+				",\"lease\":0}",
+				first ? "" : ",", item->key, item->value,
+				item->revision, item->revision);
+}
+
+int store_items_list(carob_buf_t *out, const store_items_t *items,
+		     const char *prefix, const char *after)
+{
+	size_t listed = 0;
+	bool truncated = false;
+	int error = carob_buf_printf(out, "{\"items\":[");
+
+	for (size_t i = 0; !error && i < items->count; i++) {
+		const store_item_t *item = &items->items[i];
+
+		if (!has_prefix(item->key, prefix) ||
+		    strcmp(item->key, after) <= 0)
+			continue;
+		truncated = listed == PAGE_ITEMS;
+		if (truncated)
+			break;
+		error = append_item(out, item, listed++ == 0);
+	}
+	if (error)
+		return error;
+	return carob_buf_printf(out,
+				"],\"truncated\":%s,\"current_rev\":%" PRIu64
+				"}",
+				truncated ? "true" : "false", items->revision);
+}
+
+static const store_item_t *change_at(const store_items_t *items, size_t i)
+{
+	return &items->history[(items->history_first + i) % STORE_HISTORY_MAX];
+}
+
+bool store_items_changed(const store_items_t *items, const char *prefix,
+			 uint64_t after)
+{
+	for (size_t i = 0; i < items->history_count; i++)
+		if (change_at(items, i)->revision > after &&
+		    has_prefix(change_at(items, i)->key, prefix))
+			return true;
+	return false;
+}
+
+int store_items_changes(carob_buf_t *out, const store_items_t *items,
+			const char *prefix, uint64_t after)
+{
+	bool first = true;
+	int error = carob_buf_printf(out, "{\"events\":[");
+
+	for (size_t i = 0; !error && i < items->history_count; i++) {
+		const store_item_t *change = change_at(items, i);
+
+		if (change->revision <= after ||
+		    !has_prefix(change->key, prefix))
+			continue;
+		error = append_item(out, change, first);
+		first = false;
+	}
+	if (error)
+		return error;
+	return carob_buf_printf(out, "],\"current_rev\":%" PRIu64 "}",
+				items->revision);
+}
+
+void store_items_dispose(store_items_t *items)
+{
+	store_items_compact(items);
+	for (size_t i = 0; i < items->count; i++)
+		item_clear(&items->items[i]);
+	free(items->items);
+	memset(items, 0, sizeof(*items));
+}
--- /dev/null
+++ b/src/emulator/store/main.c
@@ -0,0 +1,367 @@
+/* carob-store: a stand-in for the store of the prepared platform. It serves
+ * listings and watches over HTTP; commands write items and cause faults. */
+#include "carobtrail/errors.h"
+#include "emulator/common/command.h"
+#include "items.h"
+#include "net/program.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#define WAIT_MS_MAX  30000
+#define DELAY_MS_MAX 60000
+#define KEY_MAX	     200
+#define VALUE_MAX    (48 * 1024)
+#define HTTP_BUSY    503
+#define HTTP_GONE    410
+
+/* What the store does with calls. */
+typedef enum store_mode {
+	MODE_SERVE,
+	MODE_BUSY,   /* 503 */
+	MODE_SILENT, /* no answer, ever */
+	MODE_RESET,  /* the connection is closed */
+} store_mode_t;
+
+typedef struct store store_t;
+
+/* A call that waits: for a change, or because the store is slow. */
+typedef struct waiting {
+	store_t *store;
+	struct evhttp_request *request;
+	char prefix[KEY_MAX + 1];
+	uint64_t after;
+	bool is_watch;
+	carob_timer_t timer;
+	struct waiting *prev;
+	struct waiting *next;
+} waiting_t;
+
+struct store {
+	carob_program_t program;
+	carob_command_t *command;
+	struct evhttp *server;
+	store_items_t items;
+	store_mode_t mode;
+	uint64_t delay_ms;
+	waiting_t *calls;
+	uint64_t call_count;
+};
+
+static void reply(struct evhttp_request *request, int status,
+		  const carob_buf_t *body)
+{
+	struct evbuffer *out = evhttp_request_get_output_buffer(request);
+
+	if (body)
+		(void)evbuffer_add(out, body->ptr, body->len);
+	evhttp_send_reply(request, status, NULL, NULL);
+}
+
+static void waiting_free(waiting_t *call)
+{
+	DL_DELETE(call->store->calls, call);
+	carob_timer_cancel(call->store->program.kernel, &call->timer);
+	free(call);
+}
+
+static void on_closed(struct evhttp_connection *connection, void *arg)
+{
+	(void)connection;
+	waiting_free(arg);
+}
+
+static void end_waiting(waiting_t *call, int status, const carob_buf_t *body)
+{
+	struct evhttp_request *request = call->request;
+	struct evhttp_connection *connection =
+		evhttp_request_get_connection(request);
+
+	if (connection)
+		evhttp_connection_set_closecb(connection, NULL, NULL);
+	waiting_free(call);
+	reply(request, status, body);
+}
+
+static void answer_watch(waiting_t *call)
+{
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t body = CAROB_BUF_INIT;
+	store_items_t *items = &call->store->items;
+
+	if (call->after < items->forgotten) {
+		end_waiting(call, HTTP_GONE, NULL);
+		return;
+	}
+	(void)store_items_changes(&body, items, call->prefix, call->after);
+	end_waiting(call, HTTP_OK, &body);
+}
+
+static void answer_list(waiting_t *call)
+{
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t body = CAROB_BUF_INIT;
+	struct evkeyvalq query;
+	const char *after;
+
+	(void)evhttp_parse_query_str(
+		evhttp_uri_get_query(
+			evhttp_request_get_evhttp_uri(call->request)),
+		&query);
+	after = evhttp_find_header(&query, "after");
+	(void)store_items_list(&body, &call->store->items, call->prefix,
+			       after ? after : "");
+	evhttp_clear_headers(&query);
+	end_waiting(call, HTTP_OK, &body);
+}
+
+static void on_due(carob_timer_t *timer)
+{
+	waiting_t *call = CAROB_CONTAINER_OF(timer, waiting_t, timer);
+
+	if (call->store->mode == MODE_SILENT)
+		return; /* until the caller closes */
+	if (call->is_watch)
+		answer_watch(call);
+	else
+		answer_list(call);
+}
+
+/* Answers the watches that wait for what was just written. */
+static void wake_watches(store_t *store)
+{
+	waiting_t *call;
+	waiting_t *next;
+
+	if (store->mode != MODE_SERVE)
+		return;
+	DL_FOREACH_SAFE (store->calls, call, next)
+		if (call->is_watch &&
+		    store_items_changed(&store->items, call->prefix,
+					call->after))
+			answer_watch(call);
+}
+
+static uint64_t query_number(const struct evkeyvalq *query, const char *name)
+{
+	const char *text = evhttp_find_header(query, name);
+
+	return text ? strtoull(text, NULL, 10) : 0;
+}
+
+static uint64_t wait_of(const waiting_t *call, const struct evkeyvalq *query)
+{
+	uint64_t wait_ms = query_number(query, "wait_ms");
+	const store_t *store = call->store;
+
+	if (!call->is_watch || call->after < store->items.forgotten ||
+	    store_items_changed(&store->items, call->prefix, call->after))
+		return store->delay_ms;
+	return (wait_ms < WAIT_MS_MAX ? wait_ms : WAIT_MS_MAX) +
+	       store->delay_ms;
+}
+
+static void begin_call(store_t *store, struct evhttp_request *request,
+		       bool is_watch)
+{
+	struct evhttp_connection *connection =
+		evhttp_request_get_connection(request);
+	waiting_t *call = calloc(1, sizeof(*call));
+	struct evkeyvalq query;
+	const char *prefix;
+
+	if (!call) {
+		reply(request, HTTP_BUSY, NULL);
+		return;
+	}
+	(void)evhttp_parse_query_str(
+		evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request)),
+		&query);
+	prefix = evhttp_find_header(&query, "prefix");
+	call->store = store;
+	call->request = request;
+	call->is_watch = is_watch;
+	call->after = query_number(&query, "after");
+	call->timer.fire = on_due;
+	(void)snprintf(call->prefix, sizeof(call->prefix), "%s",
+		       prefix ? prefix : "");
+	DL_APPEND(store->calls, call);
+	evhttp_connection_set_closecb(connection, on_closed, call);
+	(void)carob_timer_arm(store->program.kernel, &call->timer,
+			      carob_kernel_now_ns(store->program.kernel) +
+				      wait_of(call, &query) * CAROB_NS_PER_MS);
+	evhttp_clear_headers(&query);
+}
+
+static void on_request(struct evhttp_request *request, void *arg)
+{
+	store_t *store = arg;
+	const char *path =
+		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
+	bool is_watch = strcmp(path, "/v1/kv-watch") == 0;
+
+	store->call_count++;
+	if (store->mode == MODE_BUSY) {
+		reply(request, HTTP_BUSY, NULL);
+	} else if (store->mode == MODE_RESET) {
+		evhttp_connection_free(evhttp_request_get_connection(request));
+	} else if (is_watch || strcmp(path, "/v1/kv-range") == 0) {
+		begin_call(store, request, is_watch);
+	} else {
+		reply(request, HTTP_NOTFOUND, NULL);
+	}
+}
+
+static int run_put(store_t *store, const carob_json_node_t *root)
+{
+	carob_str_t key;
+	carob_str_t value;
+	int error = carob_json_get_str(&key, root, "key", 1, KEY_MAX);
+
+	if (!error)
+		error = carob_json_get_str(&value, root, "value", 0, VALUE_MAX);
+	if (!error)
+		error = store_items_write(&store->items, key, value);
+	if (!error)
+		wake_watches(store);
+	return error;
+}
+
+static int run_remove(store_t *store, const carob_json_node_t *root)
+{
+	carob_str_t key;
+	int error = carob_json_get_str(&key, root, "key", 1, KEY_MAX);
+
+	if (!error)
+		error = store_items_write(&store->items, key,
+					  (carob_str_t){NULL, 0});
+	if (!error)
+		wake_watches(store);
+	return error;
+}
+
+static void close_calls(store_t *store)
+{
+	waiting_t *call;
+	waiting_t *next;
+
+	DL_FOREACH_SAFE (store->calls, call, next)
+		evhttp_connection_free(
+			evhttp_request_get_connection(call->request));
+}
+
+static int run_mode(store_t *store, const carob_json_node_t *root)
+{
+	static const char *const names[] = {"serve", "busy", "silent", "reset"};
+	carob_json_node_t node;
+	size_t index;
+	int error = carob_json_get(&node, root, "mode");
+
+	if (!error)
+		error = carob_json_choice(&index, &node, names,
+					  CAROB_ARRAY_SIZE(names));
+	if (!error)
+		error = carob_json_get_u64_or(&store->delay_ms, root,
+					      "delay_ms", 0, DELAY_MS_MAX, 0);
+	if (error)
+		return error;
+	store->mode = (store_mode_t)index;
+	if (store->mode == MODE_RESET)
+		close_calls(store);
+	return 0;
+}
+
+static int run_compact(store_t *store, const carob_json_node_t *root)
+{
+	(void)root;
+	store_items_compact(&store->items);
+	close_calls(store);
+	return 0;
+}
+
+static const struct {
+	const char *name;
+	int (*run)(store_t *store, const carob_json_node_t *root);
+} verbs[] = {
+	{"put", run_put},
+	{"remove", run_remove},
+	{"mode", run_mode},
+	{"compact", run_compact},
+};
+
+static int on_command(carob_buf_t *answer, void *context,
+		      const carob_json_node_t *root)
+{
+	const char *names[CAROB_ARRAY_SIZE(verbs)];
+	store_t *store = context;
+	carob_json_node_t node;
+	size_t index;
+	int error;
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(verbs); i++)
+		names[i] = verbs[i].name;
+	error = carob_json_get(&node, root, "command");
+	if (!error)
+		error = carob_json_choice(&index, &node, names,
+					  CAROB_ARRAY_SIZE(verbs));
+	if (!error)
+		error = verbs[index].run(store, root);
+	if (error)
+		return error;
+	return carob_buf_printf(answer, ",\"revision\":%llu,\"calls\":%llu",
+				(unsigned long long)store->items.revision,
+				(unsigned long long)store->call_count);
+}
+
+static int open_store(store_t *store)
+{
+	static const char *const keys[] = {"listen", "command", "log_level"};
+	carob_json_node_t root = carob_json_doc_root(store->program.settings);
+	char ip[INET_ADDRSTRLEN] = "";
+	carob_addr_t listen;
+	carob_addr_t command;
+	int error = carob_json_object(&root, keys, CAROB_ARRAY_SIZE(keys));
+
+	if (!error)
+		error = carob_json_get_addr(&listen, &root, "listen");
+	if (!error)
+		error = carob_json_get_addr(&command, &root, "command");
+	if (error)
+		return carob_program_refuse_settings(&store->program, error);
+	store_items_init(&store->items);
+	error = carob_command_open(&store->command, store->program.hub,
+				   &command, on_command, store);
+	if (error)
+		return carob_program_fail(&store->program, error);
+	store->server = evhttp_new(carob_loop_base(store->program.loop));
+	(void)inet_ntop(AF_INET, listen.ip, ip, sizeof(ip));
+	if (!store->server ||
+	    evhttp_bind_socket(store->server, ip, listen.port) != 0)
+		return carob_program_fail(&store->program,
+					  carob_error_set(CAROB_EIO,
+							  "listen on %s:%u", ip,
+							  listen.port));
+	evhttp_set_gencb(store->server, on_request, store);
+	return 0;
+}
+
+int main(int argc, const char **argv)
+{
+	static store_t store = {.program.name = "carob-store"};
+
+	if (carob_program_init(&store.program, argc, argv) == 0 &&
+	    open_store(&store) == 0)
+		carob_program_run(&store.program);
+	close_calls(&store);
+	if (store.server)
+		evhttp_free(store.server);
+	if (store.command)
+		carob_command_close(store.command);
+	store_items_dispose(&store.items);
+	carob_program_dispose(&store.program);
+	return store.program.exit_status;
+}
--- a/src/flow/catalog.c
+++ b/src/flow/catalog.c
@@ -42,6 +42,7 @@
 	carob_buf_t page_after; /* key behind which the next page begins */
 	uint64_t page_revision; /* of the first page */
 	bool listed;		/* a whole listing has been read */
+	bool complete;		/* flows could be placed, once */
 	uint64_t revision;
 	uint64_t answered_ns;
 	uint64_t regained_ns; /* when the platform answered again */
@@ -238,11 +239,24 @@
 		catalog->counters.changes++;
 }
 
+static bool can_place(const carob_catalog_t *catalog)
+{
+	const carob_upstream_table_t *upstreams = catalog->options.upstreams;
+
+	if (!catalog->options.routes->buckets || !catalog->listed)
+		return false;
+	for (size_t i = 0; i < upstreams->count; i++)
+		if (carob_upstream_accepts(&upstreams->items[i]))
+			return true;
+	return false;
+}
+
 static void apply_all(carob_catalog_t *catalog,
 		      const carob_catalog_reply_t *reply)
 {
 	for (size_t i = 0; i < reply->count; i++)
 		apply(catalog, &reply->changes[i]);
+	catalog->complete = catalog->complete || can_place(catalog);
 }
 
 static void note_answer(carob_catalog_t *catalog)
@@ -281,6 +295,7 @@
 					 now_ns(catalog));
 	catalog->revision = catalog->page_revision;
 	catalog->listed = true;
+	catalog->complete = catalog->complete || can_place(catalog);
 	CAROB_LOG(CAROB_EV_CATALOG_LISTED,
 		  CAROB_FIELD_U64("revision", catalog->revision),
 		  CAROB_FIELD_U64("upstreams",
@@ -296,7 +311,8 @@
 		catalog->revision = reply->revision;
 	carob_upstream_table_forget_gone(catalog->options.upstreams,
 					 FORGET_GONE_NS, now_ns(catalog));
-	if (reply->count > 0 && !was_probe)
+	/* At the start, whatever is missing is wanted at once. */
+	if (reply->count > 0 && !was_probe && catalog->complete)
 		read_in(catalog, PAUSE_OF(catalog->options.apply_ms));
 	else
 		read_changes(catalog);
@@ -377,7 +393,7 @@
 
 bool carob_catalog_complete(const carob_catalog_t *catalog)
 {
-	return catalog->options.routes->buckets && catalog->revision > 0;
+	return catalog->complete;
 }
 
 uint64_t carob_catalog_age_ms(const carob_catalog_t *catalog)
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -212,7 +212,8 @@
 
 	error = platform_store_new(&self->store, self->program.kernel,
 				   carob_loop_base(self->program.loop),
-				   &self->settings.store);
+				   &self->settings.store,
+				   &self->settings.packets);
 	if (error)
 		return error;
 	options.kernel = self->program.kernel;
--- a/tests/flow/catalog_test.c
+++ b/tests/flow/catalog_test.c
@@ -224,6 +224,28 @@
 	bed_dispose(&bed);
 }
 
+/* At the first start of a deployment, the configuration comes first. An
+ * instance without upstreams would refuse every flow. */
+static void test_a_start_without_upstreams(void)
+{
+	const carob_catalog_change_t first = config(4, 2);
+	const carob_catalog_change_t second = upstream("i-a", 3, false);
+	const carob_catalog_change_t third = removal("i-a", 4);
+	bed_t bed;
+
+	bed_init(&bed);
+	answer_with(&bed, 1, NULL, 0);
+	answer_with(&bed, 2, &first, 1);
+	CU_ASSERT_FALSE(carob_catalog_complete(bed.catalog));
+	CU_ASSERT_EQUAL(bed.call, CALL_WATCH); /* no pause yet */
+	answer_with(&bed, 3, &second, 1);
+	CU_ASSERT_TRUE(carob_catalog_complete(bed.catalog));
+	pass(&bed, 2000);
+	answer_with(&bed, 4, &third, 1);
+	CU_ASSERT_TRUE(carob_catalog_complete(bed.catalog));
+	bed_dispose(&bed);
+}
+
 /* Changes that come close together cost one call, and are in force within the
  * apply time of 3 s. */
 static void test_a_pause_after_changes(void)
@@ -401,6 +423,7 @@
 		{"listing, then watching", test_listing_then_watching},
 		{"a silent watch ends in time",
 		 test_a_silent_watch_ends_in_time},
+		{"a start without upstreams", test_a_start_without_upstreams},
 		{"a pause after changes", test_a_pause_after_changes},
 		{"pages", test_pages},
 		{"history gone", test_history_gone},
