--- a/src/flow/upstream_table.c
+++ b/src/flow/upstream_table.c
@@ -128,6 +128,32 @@
 	upstream->avoid_until_ns = 0;
 }
 
+/* Takes over what an entry says, but for its state. */
+static int fill(carob_upstream_table_t *table, carob_upstream_t *upstream,
+		const carob_upstream_entry_t *entry, uint64_t now_ns)
+{
+	int error = carob_name_table_add(&upstream->service, &table->services,
+					 entry->service);
+
+	if (!error)
+		error = carob_name_table_add(&upstream->zone, &table->zones,
+					     entry->zone);
+	if (error)
+		return error;
+	if (upstream->started_ms != entry->started_ms)
+		forget_failures(upstream);
+	upstream->number = entry->number;
+	upstream->tag = carob_upstream_tag(entry->number);
+	upstream->endpoint = entry->endpoint;
+	upstream->slots = entry->slots ? entry->slots : 1;
+	upstream->started_ms = entry->started_ms;
+	upstream->cold_until_ns =
+		now_ns + (uint64_t)entry->cold_ms * CAROB_NS_PER_MS;
+	upstream->used = true;
+	upstream->listed = true;
+	return 0;
+}
+
 int carob_upstream_table_put(carob_upstream_table_t *table,
 			     const carob_upstream_entry_t *entry,
 			     uint64_t revision, uint64_t now_ns)
@@ -137,38 +163,22 @@
 	carob_upstream_state_t state = entry->draining ? CAROB_UPSTREAM_DRAINING
 						       : CAROB_UPSTREAM_READY;
 	carob_upstream_t *upstream = NULL;
-	carob_name_id_t service;
-	carob_name_id_t zone;
 	int error;
 
-	if (at != CAROB_UPSTREAM_NONE) {
+	if (at == CAROB_UPSTREAM_NONE) {
+		error = add(&upstream, table, entry->id);
+		if (!upstream)
+			return error;
+	} else {
 		upstream = &table->items[at];
 		upstream->listed = true;
 		if (revision <= upstream->revision)
 			return CAROB_ESTALE;
 	}
-	error = carob_name_table_add(&service, &table->services,
-				     entry->service);
-	if (!error)
-		error = carob_name_table_add(&zone, &table->zones, entry->zone);
-	if (!error && !upstream)
-		error = add(&upstream, table, entry->id);
+	error = fill(table, upstream, entry, now_ns);
 	if (error)
 		return error;
-	if (upstream->started_ms != entry->started_ms)
-		forget_failures(upstream);
-	upstream->used = true;
-	upstream->listed = true;
-	upstream->number = entry->number;
-	upstream->tag = carob_upstream_tag(entry->number);
-	upstream->service = service;
-	upstream->zone = zone;
-	upstream->endpoint = entry->endpoint;
-	upstream->slots = entry->slots ? entry->slots : 1;
-	upstream->started_ms = entry->started_ms;
 	upstream->revision = revision;
-	upstream->cold_until_ns =
-		now_ns + (uint64_t)entry->cold_ms * CAROB_NS_PER_MS;
 	if (upstream->state != state)
 		set_state(table, upstream, state, now_ns);
 	return 0;
--- a/tests/platform/items_test.c
+++ b/tests/platform/items_test.c
@@ -54,6 +54,8 @@
 	append_item(&body, "servers/i-7f3a91c2ff", ENTRY, 7);
 	reply = decode(&items, &body);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(reply);
+	if (!reply)
+		return;
 	CU_ASSERT_EQUAL(reply->revision, 99);
 	CU_ASSERT_EQUAL(reply->count, 1);
 	CU_ASSERT_EQUAL(reply->changes[0].kind, CAROB_CATALOG_UPSTREAM);
@@ -111,6 +113,8 @@
 		append_item(&body, "servers/i-02", ENTRY, 6);
 		reply = decode(&items, &body);
 		CU_ASSERT_PTR_NOT_NULL_FATAL(reply);
+		if (!reply)
+			return;
 		CU_ASSERT_EQUAL(reply->changes[0].kind,
 				CAROB_CATALOG_UPSTREAM_UNUSABLE);
 		CU_ASSERT_EQUAL(reply->changes[1].kind, CAROB_CATALOG_UPSTREAM);
@@ -144,6 +148,8 @@
 		append_item(&body, cases[i].key, ENTRY, 5);
 		reply = decode(&items, &body);
 		CU_ASSERT_PTR_NOT_NULL_FATAL(reply);
+		if (!reply)
+			return;
 		CU_ASSERT_EQUAL(reply->changes[0].kind, cases[i].kind);
 		if (cases[i].kind == CAROB_CATALOG_UPSTREAM)
 			CU_ASSERT_EQUAL(reply->changes[0].upstream.number,
@@ -191,6 +197,8 @@
 		    4);
 	reply = decode(&items, &body);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(reply);
+	if (!reply)
+		return;
 	CU_ASSERT_EQUAL(reply->changes[0].kind, CAROB_CATALOG_CONFIG);
 	CU_ASSERT_EQUAL(reply->changes[0].config.version, 7);
 	CU_ASSERT_EQUAL(reply->changes[0].config.idle_timeout_ms, 15000);
