silence: old signs of silence do not reset flows

Signs now count for 1.5 s, a request has to wait too, since an upstream without room for flows leaves SYNs unanswered, and the silence has to be longer than twice the usual answer.

--- a/include/carobtrail/silence.h
+++ b/include/carobtrail/silence.h
@@ -2,12 +2,14 @@
  * @file silence.h
  * Which upstreams have fallen silent, from what callers' packets show.
  *
- * An upstream answers a SYN at once, also when it is busy: a SYN that its
- * caller repeats was lost or had nobody to answer it. A request that its
- * caller repeats may just take long. So one lost SYN proves nothing, a second
- * one without an answer in between keeps new flows away, and either two of
- * them, or one and two requests that wait, make an upstream silent, provided
- * that others answer: otherwise the trouble is this instance's own.
+ * An upstream answers a SYN at once, also when it is busy, but not when it
+ * holds as many flows as it can: a SYN that its caller repeats was lost, had
+ * nobody to answer it, or found no room. A request that its caller repeats may
+ * just take long. So one lost SYN proves nothing, and a second one without an
+ * answer in between keeps new flows away. Two of them and a request that
+ * waits, or one and two requests, make an upstream silent, provided that no
+ * answer came for longer than usual and that others answer: otherwise the
+ * trouble is this instance's own.
  */
 #ifndef CAROBTRAIL_SILENCE_H
 #define CAROBTRAIL_SILENCE_H
@@ -24,14 +26,21 @@
 
 /** Notes that a flow's request was repeated; once for each request. */
 void carob_silence_note_request(carob_upstream_table_t *table,
-				carob_upstream_index_t index);
+				carob_upstream_index_t index, uint64_t now_ns);
 
 /** @return whether new flows had better go elsewhere */
 bool carob_silence_is_avoided(const carob_upstream_t *upstream,
 			      uint64_t now_ns);
 
-/** @return whether flows on it wait in vain */
+/**
+ * @param table the upstreams
+ * @param index the one that is asked for
+ * @param usual_ns how long nearly all answers take
+ * @param now_ns monotonic time
+ * @return whether flows on it wait in vain
+ */
 bool carob_silence_is_silent(const carob_upstream_table_t *table,
-			     carob_upstream_index_t index, uint64_t now_ns);
+			     carob_upstream_index_t index, uint64_t usual_ns,
+			     uint64_t now_ns);
 
 #endif
--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -62,6 +62,7 @@
 	uint64_t answered_ns; /* when a caller last acknowledged something */
 	uint32_t failures;    /* SYNs without an answer since then */
 	uint32_t waiting;     /* requests that were repeated since then */
+	uint64_t failed_ns;   /* when the last of both was seen */
 	uint64_t avoid_until_ns;
 } carob_upstream_t;
 
--- a/src/flow/silence.c
+++ b/src/flow/silence.c
@@ -7,10 +7,15 @@
 /* How long an upstream is passed over, for each SYN without an answer. */
 #define AVOID_NS     (500 * CAROB_NS_PER_MS)
 #define AVOID_NS_MAX (4 * CAROB_NS_PER_S)
-/* Requests that wait, which together with one SYN make an upstream silent. */
-#define REQUESTS_TO_SILENCE 2
-/* Nothing was heard for longer than a SYN waits for its first repetition. */
+/* SYNs without an answer and requests that wait, at least one of each. */
+#define SIGNS_OF_SILENCE 3
+/* Nothing was heard for so many times the usual time of an answer. */
+#define PATIENCE 2
+/* And for longer than a SYN waits for its first repetition. */
 #define SILENT_NS (250 * CAROB_NS_PER_MS)
+/* What shows the silence is not older: far less than the 4 s for which
+ * disruption of an upstream excuses a reset of its flows. */
+#define FRESH_NS (1500 * CAROB_NS_PER_MS)
 /* Others count as answering if one did within this. */
 #define OTHERS_NS (200 * CAROB_NS_PER_MS)
 
@@ -37,6 +42,7 @@
 	uint64_t avoid_ns;
 
 	upstream->failures++;
+	upstream->failed_ns = now_ns;
 	if (upstream->failures < SYNS_TO_AVOID)
 		return;
 	avoid_ns = upstream->failures * AVOID_NS;
@@ -52,9 +58,10 @@
 }
 
 void carob_silence_note_request(carob_upstream_table_t *table,
-				carob_upstream_index_t index)
+				carob_upstream_index_t index, uint64_t now_ns)
 {
 	table->items[index].waiting++;
+	table->items[index].failed_ns = now_ns;
 }
 
 /* After the pause, one flow at a time shows whether it is back. */
@@ -65,16 +72,25 @@
 	return now_ns < upstream->avoid_until_ns || upstream->pending > 0;
 }
 
+/* Together, so many signs make an upstream silent. */
+static bool has_signs(const carob_upstream_t *upstream)
+{
+	return upstream->failures > 0 && upstream->waiting > 0 &&
+	       upstream->failures + upstream->waiting >= SIGNS_OF_SILENCE;
+}
+
 bool carob_silence_is_silent(const carob_upstream_table_t *table,
-			     carob_upstream_index_t index, uint64_t now_ns)
+			     carob_upstream_index_t index, uint64_t usual_ns,
+			     uint64_t now_ns)
 {
 	const carob_upstream_t *upstream = &table->items[index];
+	uint64_t patience_ns = PATIENCE * usual_ns;
 
-	if (upstream->failures == 0)
-		return false;
-	if (upstream->failures < SYNS_TO_AVOID &&
-	    upstream->waiting < REQUESTS_TO_SILENCE)
+	if (!has_signs(upstream))
 		return false;
-	return now_ns - upstream->answered_ns >= SILENT_NS &&
+	if (patience_ns < SILENT_NS)
+		patience_ns = SILENT_NS;
+	return now_ns - upstream->failed_ns < FRESH_NS &&
+	       now_ns - upstream->answered_ns >= patience_ns &&
 	       now_ns - table->answered_ns < OTHERS_NS;
 }
--- a/src/flow/steering.c
+++ b/src/flow/steering.c
@@ -17,6 +17,8 @@
 #define PENDING_MS_MAX 10000
 /* Idle flows that the configuration says nothing about. */
 #define IDLE_MS_DEFAULT 60000
+/* Of a hundred answers, one takes longer than the usual time. */
+#define USUAL_QUANTILE 0.99
 /* Calls of the sweep until it has seen the whole table. */
 #define SWEEP_PARTS 8
 
@@ -177,11 +179,24 @@
 	forward(out, steering, CAROB_STEER_PLACED, to);
 }
 
+static bool is_silent(const carob_steering_t *steering,
+		      carob_upstream_index_t upstream)
+{
+	uint64_t usual_ms;
+
+	if (steering->upstreams->items[upstream].failures == 0)
+		return false;
+	usual_ms = carob_histogram_quantile(&steering->counters.answer_ms,
+					    USUAL_QUANTILE);
+	return carob_silence_is_silent(steering->upstreams, upstream,
+				       usual_ms * CAROB_NS_PER_MS,
+				       now_ns(steering));
+}
+
 static void note_if_silent(carob_steering_t *steering,
 			   carob_upstream_index_t upstream)
 {
-	if (carob_silence_is_silent(steering->upstreams, upstream,
-				    now_ns(steering)))
+	if (is_silent(steering, upstream))
 		steering->silent = upstream;
 }
 
@@ -284,7 +299,8 @@
 	if (flow->repeated || !flow->pending)
 		return;
 	flow->repeated = true;
-	carob_silence_note_request(steering->upstreams, flow->upstream);
+	carob_silence_note_request(steering->upstreams, flow->upstream,
+				   now_ns(steering));
 	note_if_silent(steering, flow->upstream);
 }
 
@@ -356,8 +372,7 @@
 {
 	return route && route->idempotent && packet->data_bytes > 0 &&
 	       flow->phase == CAROB_FLOW_OPEN &&
-	       carob_silence_is_silent(steering->upstreams, flow->upstream,
-				       now_ns(steering));
+	       is_silent(steering, flow->upstream);
 }
 
 static void steer_known_flow(carob_steer_result_t *out,
