steering: new flows are refused at once while answers come late

Cause: beyond what upstreams can serve, every queue was full and nearly all answers came late (p99 0.8 s at an aim of 0.25 s), though each was served. An adaptive limit of requests in progress, by service, now refuses new flows with a reset; urgent routes may go beyond it, and nothing is refused while slots of the own zone would be free. Ruled out: placement (the busiest upstream had 1.2 times the mean) and fewer copies of SYNs. The limiter moves from src/core to src/flow, for both fronts.

--- a/include/carobtrail/route_table.h
+++ b/include/carobtrail/route_table.h
@@ -21,7 +21,9 @@
 /** One route of a configuration. */
 typedef struct carob_route {
 	carob_endpoint_t endpoint;
-	bool idempotent; /* callers may repeat its requests */
+	bool idempotent;    /* callers may repeat its requests */
+	uint32_t target_ms; /* answers are wanted within this; 0: not said */
+	uint32_t priority;  /* 0 is the most urgent */
 	size_t share_count;
 	carob_route_share_t shares[CAROB_ROUTE_SHARES_MAX];
 } carob_route_t;
@@ -30,6 +32,7 @@
 typedef struct carob_route_config {
 	uint64_t version;
 	uint32_t idle_timeout_ms; /* flows idle for longer may be forgotten */
+	uint32_t least_priority;  /* the highest number that a route has */
 	size_t count;
 	carob_route_t *routes;
 } carob_route_config_t;
--- a/include/carobtrail/steering.h
+++ b/include/carobtrail/steering.h
@@ -30,6 +30,7 @@
 	X(CAROB_STEER_NO_ROUTE, RESET, "no_route")                             \
 	X(CAROB_STEER_ROUTE_DROPPED, RESET, "route_dropped")                   \
 	X(CAROB_STEER_NO_UPSTREAM, RESET, "no_upstream")                       \
+	X(CAROB_STEER_OVERLOADED, RESET, "overloaded")                         \
 	X(CAROB_STEER_UPSTREAM_SILENT, RESET, "upstream_silent")               \
 	X(CAROB_STEER_UNKNOWN_TAG, DROP, "unknown_tag")                        \
 	X(CAROB_STEER_NO_CONFIG, DROP, "no_configuration")                     \
--- a/src/core/upstream_slots.h
+++ b/src/core/upstream_slots.h
@@ -7,7 +7,7 @@
 #define CAROBTRAIL_UPSTREAM_SLOTS_H
 
 #include "admission_queue.h"
-#include "limiter.h"
+#include "carobtrail/limiter.h"
 #include "upstream_health.h"
 
 #include "carobtrail/scheduler.h"
--- /dev/null
+++ b/src/flow/admission.c
@@ -0,0 +1,93 @@
+#include "carobtrail/admission.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Requests in progress for each slot of a service, at most: one that runs and
+ * one that waits. */
+#define LIMIT_A_SLOT 2
+/* Below this part of the own zone's slots nothing is refused: there would be
+ * slots free. Other instances of the zone use the rest. */
+#define FLOOR_A_SLOT 0.5
+/* Urgent flows are taken beyond the limit, by this factor. */
+#define URGENT_FACTOR 3.0
+
+typedef struct service_load {
+	uint32_t pending;
+	uint32_t slots;
+	uint32_t home_slots;
+} service_load_t;
+
+static service_load_t load_of(const carob_upstream_table_t *table,
+			      const carob_admission_query_t *query)
+{
+	service_load_t load = {0};
+
+	for (size_t i = 0; i < table->count; i++) {
+		const carob_upstream_t *upstream = &table->items[i];
+
+		if (!upstream->used || upstream->service != query->service)
+			continue;
+		load.pending += upstream->pending;
+		if (!carob_upstream_accepts(upstream))
+			continue;
+		load.slots += upstream->slots;
+		if (upstream->zone == query->home_zone)
+			load.home_slots += upstream->slots;
+	}
+	return load;
+}
+
+static bool make_room(carob_admission_t *admission, carob_name_id_t service)
+{
+	size_t count = (size_t)service + 1;
+	carob_limiter_t *limiters;
+
+	if (service < admission->count)
+		return true;
+	limiters = realloc(admission->limiters, count * sizeof(*limiters));
+	if (!limiters)
+		return false;
+	memset(&limiters[admission->count], 0,
+	       (count - admission->count) * sizeof(*limiters));
+	admission->limiters = limiters;
+	admission->count = count;
+	return true;
+}
+
+bool carob_admission_admits(carob_admission_t *admission,
+			    const carob_upstream_table_t *table,
+			    const carob_admission_query_t *query)
+{
+	service_load_t load = load_of(table, query);
+	uint32_t most = LIMIT_A_SLOT * load.slots;
+	double limit;
+
+	if (!make_room(admission, query->service))
+		return true;
+	carob_limiter_set_slots(&admission->limiters[query->service], most);
+	limit = carob_limiter_limit(&admission->limiters[query->service]);
+	if (limit < FLOOR_A_SLOT * load.home_slots)
+		limit = FLOOR_A_SLOT * load.home_slots;
+	if (query->urgent)
+		limit *= URGENT_FACTOR;
+	return load.pending == 0 || load.pending < limit;
+}
+
+void carob_admission_note_answer(carob_admission_t *admission,
+				 carob_name_id_t service, bool in_time,
+				 uint64_t now_ns)
+{
+	if (service >= admission->count)
+		return;
+	if (in_time)
+		carob_limiter_on_success(&admission->limiters[service]);
+	else
+		carob_limiter_on_timeout(&admission->limiters[service], now_ns);
+}
+
+void carob_admission_dispose(carob_admission_t *admission)
+{
+	free(admission->limiters);
+	memset(admission, 0, sizeof(*admission));
+}
--- a/src/flow/catalog.c
+++ b/src/flow/catalog.c
@@ -140,6 +140,8 @@
 
 	out->endpoint = route->endpoint;
 	out->idempotent = route->idempotent;
+	out->target_ms = route->target_ms;
+	out->priority = route->priority;
 	out->share_count = route->share_count;
 	for (size_t i = 0; !error && i < route->share_count; i++) {
 		out->shares[i].weight = route->shares[i].weight;
--- a/src/core/limiter.c
+++ b/src/flow/limiter.c
@@ -1,4 +1,4 @@
-#include "limiter.h"
+#include "carobtrail/limiter.h"
 
 #define LIMIT_MIN	      1.0
 #define LIMIT_DECREASE_FACTOR 0.7
--- a/src/flow/route_table.c
+++ b/src/flow/route_table.c
@@ -79,6 +79,10 @@
 	if (config->count)
 		memcpy(table->config.routes, config->routes,
 		       config->count * sizeof(*config->routes));
+	for (size_t i = 0; i < config->count; i++)
+		if (config->routes[i].priority > table->config.least_priority)
+			table->config.least_priority =
+				config->routes[i].priority;
 	fill_buckets(table);
 	return note_dropped(table, before);
 }
--- a/src/flow/steering.c
+++ b/src/flow/steering.c
@@ -1,5 +1,6 @@
 #include "carobtrail/steering.h"
 
+#include "carobtrail/admission.h"
 #include "carobtrail/errors.h"
 #include "carobtrail/log.h"
 #include "carobtrail/silence.h"
@@ -29,6 +30,7 @@
 	carob_upstream_table_t *upstreams;
 	carob_name_id_t home_zone;
 	carob_flow_table_t flows;
+	carob_admission_t admission;
 	carob_upstream_index_t silent; /* whose flows are to be reset */
 	carob_steering_counters_t counters;
 };
@@ -161,6 +163,20 @@
 	return carob_placement_choose(steering->upstreams, &query);
 }
 
+static bool admits(carob_steering_t *steering, const carob_route_t *route,
+		   carob_name_id_t service)
+{
+	carob_admission_query_t query = {
+		.service = service,
+		.home_zone = steering->home_zone,
+		.urgent = route->priority <
+			  steering->routes->config.least_priority,
+	};
+
+	return carob_admission_admits(&steering->admission, steering->upstreams,
+				      &query);
+}
+
 static void steer_new_syn(carob_steer_result_t *out, carob_steering_t *steering,
 			  const carob_flow_packet_t *packet,
 			  const carob_route_t *route)
@@ -173,6 +189,10 @@
 		decide(out, steering, CAROB_STEER_NO_UPSTREAM);
 		return;
 	}
+	if (!admits(steering, route, steering->upstreams->items[to].service)) {
+		decide(out, steering, CAROB_STEER_OVERLOADED);
+		return;
+	}
 	flow = remember(steering, packet, CAROB_FLOW_OPENING, to);
 	if (flow)
 		set_pending(steering, flow, true);
@@ -275,6 +295,21 @@
 				  now_ns(steering));
 }
 
+static void note_answer(carob_steering_t *steering, const carob_flow_t *flow,
+			uint32_t ms)
+{
+	carob_endpoint_t endpoint = {flow->route_ip, flow->route_port};
+	const carob_route_t *route = NULL;
+
+	carob_histogram_record(&steering->counters.answer_ms, ms);
+	(void)carob_route_table_find(&route, steering->routes, endpoint);
+	if (route && route->target_ms > 0)
+		carob_admission_note_answer(
+			&steering->admission,
+			steering->upstreams->items[flow->upstream].service,
+			ms <= route->target_ms, now_ns(steering));
+}
+
 static void track_answer(carob_steering_t *steering, carob_flow_t *flow,
 			 const carob_flow_packet_t *packet)
 {
@@ -286,8 +321,7 @@
 	if (!flow->pending)
 		return;
 	set_pending(steering, flow, false);
-	carob_histogram_record(&steering->counters.answer_ms,
-			       now_ms(steering) - flow->since_ms);
+	note_answer(steering, flow, now_ms(steering) - flow->since_ms);
 	carob_silence_note_answer(steering->upstreams, flow->upstream,
 				  now_ns(steering));
 }
@@ -548,6 +582,7 @@
 {
 	if (!steering)
 		return;
+	carob_admission_dispose(&steering->admission);
 	carob_flow_table_dispose(&steering->flows);
 	free(steering);
 }
