--- /dev/null
+++ b/fuzzers/flow_packet_fuzzer.c
@@ -0,0 +1,32 @@
+#include "platform/packet.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+/* A packet that decodes reaches the upstream as its sender wrote it, but for
+ * the tag. */
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	carob_str_t datagram = {(const char *)data, size};
+	uint8_t out[PLATFORM_PACKET_BYTES_MAX];
+	carob_flow_packet_t packet;
+	carob_flow_packet_t again;
+
+	if (platform_packet_decode(&packet, datagram) != 0)
+		return 0;
+	if (platform_packet_encode(out, datagram, 7, 9) !=
+	    size + PLATFORM_PACKET_INTENDED_BYTES)
+		abort();
+	datagram.ptr = (const char *)out + PLATFORM_PACKET_INTENDED_BYTES;
+	if (platform_packet_decode(&again, datagram) != 0 ||
+	    again.steering_tag != 9)
+		abort();
+	again.steering_tag = packet.steering_tag;
+	if (memcmp(&again.caller, &packet.caller, sizeof(packet.caller)) ||
+	    again.seq != packet.seq || again.ack != packet.ack ||
+	    again.data_bytes != packet.data_bytes)
+		abort();
+	return 0;
+}
--- /dev/null
+++ b/fuzzers/store_items_fuzzer.c
@@ -0,0 +1,58 @@
+#include "carobtrail/log.h"
+#include "platform/items.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BODY_BYTES 16384
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+/* Applies what can be decoded, as the catalogue does. */
+static void apply(const carob_catalog_reply_t *reply)
+{
+	CAROB_CLEANUP(carob_upstream_table_dispose)
+	carob_upstream_table_t table = {0};
+
+	for (size_t i = 0; i < reply->count; i++)
+		if (reply->changes[i].kind == CAROB_CATALOG_UPSTREAM)
+			(void)carob_upstream_table_put(
+				&table, &reply->changes[i].upstream,
+				reply->changes[i].revision, 1);
+}
+
+static void decode(carob_str_t body)
+{
+	platform_items_t *items;
+
+	if (platform_items_decode(&items, body) != 0)
+		return;
+	apply(platform_items_reply(items));
+	platform_items_free(items);
+}
+
+/* The bytes are an answer, an upstream's entry, and a configuration. */
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	static const char *const keys[] = {"servers/i-1f", "op/config"};
+	static char body[BODY_BYTES];
+	static char value[BODY_BYTES / 2];
+
+	carob_log_configure("fuzzer", NULL, CAROB_LOG_ERROR, NULL);
+	decode((carob_str_t){(const char *)data, size});
+	if (sodium_base64_encoded_len(size, sodium_base64_VARIANT_ORIGINAL) >
+	    sizeof(value))
+		return 0;
+	sodium_bin2base64(value, sizeof(value), data, size,
+			  sodium_base64_VARIANT_ORIGINAL);
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(keys); i++) {
+		int len = snprintf(body, sizeof(body),
+				   "{\"events\":[{\"key\":\"%s\",\"value\":"
+				   "\"%s\",\"revision\":3}],\"current_rev\":4}",
+				   keys[i], value);
+
+		decode((carob_str_t){body, (size_t)len});
+	}
+	return 0;
+}
--- a/src/emulator/store/main.c
+++ b/src/emulator/store/main.c
@@ -102,20 +102,29 @@
 	end_waiting(call, HTTP_OK, &body);
 }
 
+/* The store compares keys as they come, without decoding them. */
+static void raw_after(char out[KEY_MAX + 1], const char *query)
+{
+	const char *at = query ? strstr(query, "after=") : NULL;
+	size_t len = 0;
+
+	out[0] = '\0';
+	if (!at)
+		return;
+	at += strlen("after=");
+	while (at[len] && at[len] != '&' && len < KEY_MAX)
+		len++;
+	(void)snprintf(out, KEY_MAX + 1, "%.*s", (int)len, at);
+}
+
 static void answer_list(waiting_t *call)
 {
 	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t body = CAROB_BUF_INIT;
-	struct evkeyvalq query;
-	const char *after;
+	char after[KEY_MAX + 1];
 
-	(void)evhttp_parse_query_str(
-		evhttp_uri_get_query(
-			evhttp_request_get_evhttp_uri(call->request)),
-		&query);
-	after = evhttp_find_header(&query, "after");
-	(void)store_items_list(&body, &call->store->items, call->prefix,
-			       after ? after : "");
-	evhttp_clear_headers(&query);
+	raw_after(after, evhttp_uri_get_query(
+				 evhttp_request_get_evhttp_uri(call->request)));
+	(void)store_items_list(&body, &call->store->items, call->prefix, after);
 	end_waiting(call, HTTP_OK, &body);
 }
 
--- /dev/null
+++ b/tests/flowd/settings_test.c
@@ -0,0 +1,86 @@
+#include "flowd/settings.h"
+
+#include "carobtrail/errors.h"
+#include "test_runner.h"
+
+#include <string.h>
+
+#define GOOD                                                                   \
+	"\"instance\":\"flowd-1\",\"zone\":\"hou-a\","                         \
+	"\"packets\":\"10.1.0.10:8172\",\"readiness\":\"10.1.0.10:8167\","     \
+	"\"store\":\"10.200.1.7:8169\""
+
+static const struct {
+	const char *text;
+	int result;
+	const char *message; /* a part of it */
+} cases[] = {
+	{"{" GOOD "}", 0, NULL},
+	{"{" GOOD ",\"metrics\":\"10.1.0.10:9464\",\"contact_ms\":5000,"
+	 "\"apply_ms\":5000,\"stop_grace_s\":6,\"first_start\":true}",
+	 0, NULL},
+	{"{}", CAROB_EINVALID, "instance"},
+	{"[]", CAROB_EINVALID, "expected"},
+	{"{" GOOD ",\"colour\":1}", CAROB_EINVALID, "colour"},
+	{"{" GOOD ",\"contact_ms\":99}", CAROB_EINVALID, "contact_ms"},
+	{"{" GOOD ",\"contact_ms\":\"4000\"}", CAROB_EINVALID, "contact_ms"},
+	{"{" GOOD ",\"stop_grace_s\":0}", CAROB_EINVALID, "stop_grace_s"},
+	{"{" GOOD ",\"metrics\":\"somewhere\"}", CAROB_EINVALID, "metrics"},
+	{"{\"instance\":\"flowd-1\",\"zone\":\"hou-a\",\"packets\":\"x\"}",
+	 CAROB_EINVALID, "packets"},
+};
+
+static void test_settings(void)
+{
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(cases); i++) {
+		carob_json_doc_t *doc = NULL;
+		flowd_settings_t settings;
+		carob_json_node_t root;
+		int result;
+
+		CU_ASSERT_EQUAL_FATAL(
+			carob_json_doc_parse(&doc, "settings",
+					     carob_str_from(cases[i].text),
+					     CAROB_JSON_SETTINGS_BYTES_MAX),
+			0);
+		root = carob_json_doc_root(doc);
+		result = flowd_settings_read(&settings, &root);
+		CU_ASSERT_EQUAL(result, cases[i].result);
+		if (cases[i].message)
+			CU_ASSERT_PTR_NOT_NULL(
+				strstr(carob_error_last(), cases[i].message));
+		carob_json_doc_free(doc);
+	}
+}
+
+static void test_defaults(void)
+{
+	static const char text[] = "{" GOOD "}";
+	carob_json_doc_t *doc = NULL;
+	flowd_settings_t settings;
+	carob_json_node_t root;
+
+	CU_ASSERT_EQUAL_FATAL(
+		carob_json_doc_parse(&doc, "settings", CAROB_STR(text),
+				     CAROB_JSON_SETTINGS_BYTES_MAX),
+		0);
+	root = carob_json_doc_root(doc);
+	CU_ASSERT_EQUAL(flowd_settings_read(&settings, &root), 0);
+	CU_ASSERT_EQUAL(settings.contact_ms, 4000);
+	CU_ASSERT_EQUAL(settings.apply_ms, 3000);
+	CU_ASSERT_EQUAL(settings.stop_grace_ms, 6000);
+	CU_ASSERT_EQUAL(settings.metrics.family, 0);
+	CU_ASSERT_EQUAL(settings.packets.port, 8172);
+	CU_ASSERT_FALSE(settings.first_start);
+	carob_json_doc_free(doc);
+}
+
+int main(void)
+{
+	static const test_case_t tests[] = {
+		{"settings", test_settings},
+		{"defaults", test_defaults},
+	};
+
+	return run_tests("flowd settings", tests, CAROB_ARRAY_SIZE(tests));
+}
