--- a/include/carobtrail/admission.h
+++ b/include/carobtrail/admission.h
@@ -29,15 +29,23 @@
 	bool urgent; /* its route goes before others of the service */
 } carob_admission_query_t;
 
+/** What a decision rests on. */
+typedef struct carob_admission_load {
+	uint32_t pending; /* requests of the service in progress here */
+	uint32_t limit;	  /* that were allowed */
+} carob_admission_load_t;
+
 /**
  * Decides on a new flow.
  *
+ * @param out receives what the decision rests on
  * @param admission the limits
  * @param table load and slots of the upstreams
  * @param query the flow
  * @return whether to take it; true if memory runs out
  */
-bool carob_admission_admits(carob_admission_t *admission,
+bool carob_admission_admits(carob_admission_load_t *out,
+			    carob_admission_t *admission,
 			    const carob_upstream_table_t *table,
 			    const carob_admission_query_t *query);
 
--- a/include/carobtrail/steering.h
+++ b/include/carobtrail/steering.h
@@ -6,6 +6,7 @@
 #ifndef CAROBTRAIL_STEERING_H
 #define CAROBTRAIL_STEERING_H
 
+#include "carobtrail/admission.h"
 #include "carobtrail/flow_table.h"
 #include "carobtrail/histogram.h"
 #include "carobtrail/placement.h"
@@ -47,8 +48,14 @@
 typedef struct carob_steer_result {
 	carob_steer_verdict_t verdict;
 	carob_steer_reason_t reason;
-	const carob_upstream_t *upstream; /* to forward to; borrowed */
-	uint32_t reset_seq;		  /* of the reset */
+	/**
+	 * To forward to; of a reset because of it, the one that is silent;
+	 * borrowed
+	 */
+	const carob_upstream_t *upstream;
+	const carob_upstream_t *passed_over; /* left a SYN unanswered, or NULL */
+	carob_admission_load_t load;	     /* that an admission rests on */
+	uint32_t reset_seq;		     /* of the reset */
 } carob_steer_result_t;
 
 /** Counters of a steering. */
--- a/src/flow/admission.c
+++ b/src/flow/admission.c
@@ -55,7 +55,8 @@
 	return true;
 }
 
-bool carob_admission_admits(carob_admission_t *admission,
+bool carob_admission_admits(carob_admission_load_t *out,
+			    carob_admission_t *admission,
 			    const carob_upstream_table_t *table,
 			    const carob_admission_query_t *query)
 {
@@ -63,6 +64,7 @@
 	uint32_t most = LIMIT_A_SLOT * load.slots;
 	double limit;
 
+	*out = (carob_admission_load_t){0};
 	if (!make_room(admission, query->service))
 		return true;
 	carob_limiter_set_slots(&admission->limiters[query->service], most);
@@ -71,6 +73,8 @@
 		limit = FLOOR_A_SLOT * load.home_slots;
 	if (query->urgent)
 		limit *= URGENT_FACTOR;
+	out->pending = load.pending;
+	out->limit = (uint32_t)limit;
 	return load.pending == 0 || load.pending < limit;
 }
 
--- a/src/flow/steering.c
+++ b/src/flow/steering.c
@@ -1,6 +1,5 @@
 #include "carobtrail/steering.h"
 
-#include "carobtrail/admission.h"
 #include "carobtrail/errors.h"
 #include "carobtrail/log.h"
 #include "carobtrail/silence.h"
@@ -163,8 +162,8 @@
 	return carob_placement_choose(steering->upstreams, &query);
 }
 
-static bool admits(carob_steering_t *steering, const carob_route_t *route,
-		   carob_name_id_t service)
+static bool admits(carob_steer_result_t *out, carob_steering_t *steering,
+		   const carob_route_t *route, carob_name_id_t service)
 {
 	carob_admission_query_t query = {
 		.service = service,
@@ -173,8 +172,8 @@
 			  steering->routes->config.least_priority,
 	};
 
-	return carob_admission_admits(&steering->admission, steering->upstreams,
-				      &query);
+	return carob_admission_admits(&out->load, &steering->admission,
+				      steering->upstreams, &query);
 }
 
 static void steer_new_syn(carob_steer_result_t *out, carob_steering_t *steering,
@@ -189,7 +188,8 @@
 		decide(out, steering, CAROB_STEER_NO_UPSTREAM);
 		return;
 	}
-	if (!admits(steering, route, steering->upstreams->items[to].service)) {
+	if (!admits(out, steering, route,
+		    steering->upstreams->items[to].service)) {
 		decide(out, steering, CAROB_STEER_OVERLOADED);
 		return;
 	}
@@ -238,6 +238,7 @@
 	carob_silence_note_syn(steering->upstreams, flow->upstream,
 			       now_ns(steering));
 	note_if_silent(steering, flow->upstream);
+	out->passed_over = &steering->upstreams->items[flow->upstream];
 	to = place(steering, route, packet, flow->upstream);
 	if (to == CAROB_UPSTREAM_NONE) {
 		forget(steering, flow);
@@ -417,6 +418,7 @@
 	if (flow->phase == CAROB_FLOW_OPENING)
 		open_flow(steering, flow, packet);
 	if (waits_in_vain(steering, packet, flow, route)) {
+		out->upstream = &steering->upstreams->items[flow->upstream];
 		forget(steering, flow);
 		decide(out, steering, CAROB_STEER_UPSTREAM_SILENT);
 		return;
--- a/tests/flow/steering_test.c
+++ b/tests/flow/steering_test.c
@@ -417,7 +417,7 @@
 	silence_first_upstream(&bed, true);
 	CU_ASSERT_EQUAL(bed.resets, 1);
 	expect(&bed, fixture_data(PORT, 1, 10, 10, 5600),
-	       CAROB_STEER_UPSTREAM_SILENT, "");
+	       CAROB_STEER_UPSTREAM_SILENT, "i-1");
 	bed_dispose(&bed);
 }
 
