--- a/src/flow/steering.c
+++ b/src/flow/steering.c
@@ -123,7 +123,7 @@
 	carob_flow_table_remove(&steering->flows, flow);
 }
 
-/* Adds a flow that its upstream is known of. @return NULL if it can't be */
+/* Adds a flow whose upstream is known. @return NULL if there is no room */
 static carob_flow_t *remember(carob_steering_t *steering,
 			      const carob_flow_packet_t *packet,
 			      carob_flow_phase_t phase,
