--- a/src/flow/catalog.c
+++ b/src/flow/catalog.c
@@ -341,9 +341,8 @@
 			  CAROB_FIELD_CSTR("error", carob_error_last()),
 			  CAROB_FIELD_U64("revision", catalog->revision),
 			  CAROB_FIELD_U64("retry_ms", pause_ms));
-	/* A page that failed is no reason to read those before it again, but
-	 * the platform may have been away for long: begin anew. */
-	carob_buf_clear(&catalog->page_after);
+	/* A listing goes on from the page that failed: the watch from its first
+	 * page's revision shows what has changed since, or that it is lost. */
 	read_in(catalog, pause_ms);
 }
 
--- a/tests/flow/catalog_test.c
+++ b/tests/flow/catalog_test.c
@@ -289,6 +289,32 @@
 	bed_dispose(&bed);
 }
 
+/* When many instances start at once, pages fail by the store's rates: those
+ * that were read are not read again. */
+static void test_a_page_that_fails(void)
+{
+	const carob_catalog_change_t first = upstream("i-a", 3, false);
+	const carob_catalog_change_t second = upstream("i-b", 4, false);
+	carob_catalog_reply_t reply = {.revision = 10,
+				       .truncated = true,
+				       .last_key = CAROB_STR("servers/i-a"),
+				       .count = 1,
+				       .changes = &first};
+	bed_t bed;
+
+	bed_init(&bed);
+	answer(&bed, &reply);
+	fail(&bed, CAROB_ELIMIT);
+	pass(&bed, 1000);
+	CU_ASSERT_EQUAL(bed.call, CALL_LIST);
+	CU_ASSERT_STRING_EQUAL(bed.after, "servers/i-a");
+	answer_with(&bed, 15, &second, 1);
+	CU_ASSERT_EQUAL(bed.call, CALL_WATCH);
+	CU_ASSERT_EQUAL(bed.revision, 10);
+	expect_state(&bed, "i-a", CAROB_UPSTREAM_READY);
+	bed_dispose(&bed);
+}
+
 /* History gone in the middle of a listing: it begins anew. */
 static void test_history_gone(void)
 {
@@ -426,6 +452,7 @@
 		{"a start without upstreams", test_a_start_without_upstreams},
 		{"a pause after changes", test_a_pause_after_changes},
 		{"pages", test_pages},
+		{"a page that fails", test_a_page_that_fails},
 		{"history gone", test_history_gone},
 		{"nothing goes backwards", test_nothing_goes_backwards},
 		{"entries that lapse in an outage",
