--- a/src/emulator/flows/callers.c
+++ b/src/emulator/flows/callers.c
@@ -21,6 +21,8 @@
 #define ADDRESS_OFFSET	200 /* of the callers behind the bed's first one */
 #define REQUESTS_A_FLOW 30  /* of a long flow, on average */
 
+#define FLOWS_A_PROBE 50
+
 /* When the copies of a SYN are sent, and when the caller gives it up. */
 static const uint32_t syn_ms[SYN_COPIES + 1] = {0, 200, 600, 1400};
 
@@ -149,7 +151,8 @@
 	    syn_ms[caller->copies] - syn_ms[caller->copies - 1]);
 }
 
-static const bed_route_t *choose_route(const caller_t *caller)
+/* @return a route of the caller's kind, listed or dropped, or NULL */
+static const bed_route_t *route_of_kind(const caller_t *caller, bool listed)
 {
 	bed_t *bed = caller->callers->bed;
 	const bed_route_t *chosen = NULL;
@@ -158,7 +161,8 @@
 	for (size_t i = 0; i < bed->route_count; i++) {
 		const bed_route_t *route = &bed->routes[i];
 
-		if (!route->listed || route->service != caller->service ||
+		if (route->listed != listed ||
+		    route->service != caller->service ||
 		    route->idempotent != caller->idempotent)
 			continue;
 		if (carob_rng_below(&bed->rng, ++seen) == 0)
@@ -167,6 +171,16 @@
 	return chosen;
 }
 
+/* Now and then a caller tries a route that was dropped: it must not work. */
+static const bed_route_t *choose_route(const caller_t *caller)
+{
+	const bed_route_t *route = NULL;
+
+	if (carob_rng_below(&caller->callers->bed->rng, FLOWS_A_PROBE) == 0)
+		route = route_of_kind(caller, false);
+	return route ? route : route_of_kind(caller, true);
+}
+
 static void open_flow(caller_t *caller)
 {
 	bed_t *bed = caller->callers->bed;
@@ -228,7 +242,9 @@
 {
 	if (caller->id == 0)
 		return;
-	if (++caller->tries > RETRIES_MAX ||
+	if (caller->route->listed)
+		caller->tries++;
+	if (caller->tries > RETRIES_MAX ||
 	    (may_have_run && !caller->idempotent)) {
 		end_request(caller, JUDGE_FAILED);
 		return;
