--- a/src/flow/catalog.c
+++ b/src/flow/catalog.c
@@ -7,10 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A page is answered in milliseconds, in 250 ms by a slow platform; later when
- * many instances start at once, who would make it later still by giving up. */
-#define LIST_TIMEOUT_MS	      1500
-#define LIST_TIMEOUT_MS_AGAIN 4000
+/* A listing is answered in milliseconds, in 250 ms by a slow platform. */
+#define LIST_TIMEOUT_MS 1500
 /* After a failure, a short watch shows whether the platform is back. */
 #define PROBE_WAIT_MS	 1
 #define PROBE_TIMEOUT_MS 1000
@@ -66,9 +64,7 @@
 	catalog->options.source->ops->list(catalog->options.source,
 					   &catalog->reader,
 					   carob_buf_view(&catalog->page_after),
-					   catalog->failures > 0
-						   ? LIST_TIMEOUT_MS_AGAIN
-						   : LIST_TIMEOUT_MS);
+					   LIST_TIMEOUT_MS);
 }
 
 static void read_changes(carob_catalog_t *catalog)
