--- a/src/flow/catalog.c
+++ b/src/flow/catalog.c
@@ -151,10 +151,9 @@
 	return error;
 }
 
-static void log_config(int error, const carob_catalog_t *catalog,
-		       uint64_t version, size_t routes, uint64_t revision)
+static void log_config(int error, uint64_t version, size_t routes,
+		       uint64_t revision)
 {
-	(void)catalog;
 	if (error)
 		CAROB_LOG(CAROB_EV_CONFIG_REFUSED,
 			  CAROB_FIELD_U64("version", version),
@@ -188,8 +187,7 @@
 		error = carob_route_table_apply(catalog->options.routes, &next);
 	free(next.routes);
 	if (error != CAROB_ESTALE) /* each listing shows it again */
-		log_config(error, catalog, config->version, config->count,
-			   revision);
+		log_config(error, config->version, config->count, revision);
 	return error;
 }
 
--- a/src/flowd/front.c
+++ b/src/flowd/front.c
@@ -11,8 +11,8 @@
 
 /* A caller waits this long for an answer to its SYNs. */
 #define SYN_AGE_MS_MAX 1400
-/* Lines about packets; further ones are counted. A line costs about as much
- * processor time as a packet. */
+/* Lines about packets; further ones are counted. It is above the new flows of
+ * an instance of today's sites, and bounds what a flood of them costs. */
 #define LOG_LINES_PER_S 200
 
 struct flowd_front {
