--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -7,6 +7,7 @@
 #include "http.h"
 #include "metrics.h"
 #include "net/program.h"
+#include "platform/calls.h"
 #include "platform/store.h"
 #include "settings.h"
 
@@ -235,7 +236,7 @@
 				&self->settings.packets, self->steering,
 				self->catalog,
 				carob_kernel_clock(self->program.kernel));
-	self->readiness_handler.path = "/v1/ready";
+	self->readiness_handler.path = PLATFORM_READY_PATH;
 	self->readiness_handler.answer = answer_readiness;
 	if (!error)
 		error = flowd_http_new(&self->readiness, base,
