flow: upstreams are found by hash, and a service's are walked alone

Cause: each SYN walked the whole upstream table three times (placement, the home zone's idle load, admission), each packet of a flow not seen before once (its tag), and each entry of a listing once or twice (its id, a free place). The test of the table is new; what it asks held before, but for no time that grows with the table.

--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -8,6 +8,7 @@
 
 #include "carobtrail/clock.h"
 #include "carobtrail/flow_packet.h"
+#include "carobtrail/index_map.h"
 #include "carobtrail/name_table.h"
 
 /** Longest id of an upstream, in bytes. */
@@ -38,7 +39,7 @@
 typedef uint32_t carob_upstream_index_t;
 
 /** No upstream. */
-#define CAROB_UPSTREAM_NONE UINT32_MAX
+#define CAROB_UPSTREAM_NONE CAROB_INDEX_END
 
 /** One upstream. */
 typedef struct carob_upstream {
@@ -71,6 +72,10 @@
 	carob_upstream_t *items;
 	size_t count; /* places, also free ones */
 	size_t cap;
+	size_t first_free;	 /* no place before it is free */
+	carob_index_map_t by_id; /* the three hold used places only */
+	carob_index_map_t by_tag;
+	carob_index_map_t by_service;
 	carob_name_table_t services;
 	carob_name_table_t zones;
 	uint64_t answered_ns; /* when a caller last acknowledged anything */
@@ -140,6 +145,23 @@
 carob_upstream_index_t
 carob_upstream_table_by_id(const carob_upstream_table_t *table, carob_str_t id);
 
+/** @return the first upstream of a service, or CAROB_UPSTREAM_NONE */
+carob_upstream_index_t
+carob_upstream_table_first_of(const carob_upstream_table_t *table,
+			      carob_name_id_t service);
+
+/** @return the next one of the same service, or CAROB_UPSTREAM_NONE */
+carob_upstream_index_t
+carob_upstream_table_next_of(const carob_upstream_table_t *table,
+			     carob_upstream_index_t index);
+
+/** Visits the upstreams of one service, in no order. */
+#define CAROB_UPSTREAMS_OF(index, table, service)                              \
+	for (carob_upstream_index_t index =                                    \
+		     carob_upstream_table_first_of(table, service);            \
+	     index != CAROB_UPSTREAM_NONE;                                     \
+	     index = carob_upstream_table_next_of(table, index))
+
 /** @return whether new flows may be placed on it */
 static inline bool carob_upstream_accepts(const carob_upstream_t *upstream)
 {
--- a/src/flow/admission.c
+++ b/src/flow/admission.c
@@ -23,11 +23,9 @@
 {
 	service_load_t load = {0};
 
-	for (size_t i = 0; i < table->count; i++) {
+	CAROB_UPSTREAMS_OF (i, table, query->service) {
 		const carob_upstream_t *upstream = &table->items[i];
 
-		if (!upstream->used || upstream->service != query->service)
-			continue;
 		load.pending += upstream->pending;
 		if (!carob_upstream_accepts(upstream))
 			continue;
--- a/src/flow/placement.c
+++ b/src/flow/placement.c
@@ -30,8 +30,7 @@
 				  carob_upstream_index_t index,
 				  const carob_placement_query_t *query)
 {
-	if (!carob_upstream_accepts(upstream) ||
-	    upstream->service != query->service)
+	if (!carob_upstream_accepts(upstream))
 		return CANDIDATE_UNUSABLE;
 	if (index == query->except)
 		return CANDIDATE_EXCEPTED;
@@ -57,11 +56,10 @@
 	double load = 0;
 	double slots = 0;
 
-	for (size_t i = 0; i < table->count; i++) {
+	CAROB_UPSTREAMS_OF (i, table, query->service) {
 		const carob_upstream_t *upstream = &table->items[i];
 
 		if (!carob_upstream_accepts(upstream) ||
-		    upstream->service != query->service ||
 		    upstream->zone != query->home_zone)
 			continue;
 		load += idle_load(upstream);
@@ -100,11 +98,9 @@
 	candidate_t best = {.class = CANDIDATE_UNUSABLE};
 	double home_idle = home_idle_load(table, query);
 
-	for (size_t i = 0; i < table->count; i++) {
+	CAROB_UPSTREAMS_OF (i, table, query->service) {
 		const carob_upstream_t *upstream = &table->items[i];
-		carob_upstream_index_t index = (carob_upstream_index_t)i;
-		candidate_t candidate = {
-			.class = class_of(upstream, index, query)};
+		candidate_t candidate = {.class = class_of(upstream, i, query)};
 
 		if (candidate.class == CANDIDATE_UNUSABLE)
 			continue;
@@ -114,7 +110,7 @@
 		if (best_index == CAROB_UPSTREAM_NONE ||
 		    is_better(&candidate, &best)) {
 			best = candidate;
-			best_index = index;
+			best_index = i;
 		}
 	}
 	return best_index;
--- a/src/flow/upstream_table.c
+++ b/src/flow/upstream_table.c
@@ -2,6 +2,7 @@
 
 #include "carobtrail/errors.h"
 #include "carobtrail/log.h"
+#include "carobtrail/rng.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -41,14 +42,27 @@
 		  CAROB_FIELD_U64("open_flows", upstream->open_flows));
 }
 
+static void dispose_indexes(carob_upstream_table_t *table)
+{
+	carob_index_map_dispose(&table->by_id);
+	carob_index_map_dispose(&table->by_tag);
+	carob_index_map_dispose(&table->by_service);
+}
+
+static uint64_t hash_of_id(carob_str_t id)
+{
+	return carob_hash_bytes(0, id.ptr, id.len);
+}
+
 carob_upstream_index_t
 carob_upstream_table_by_id(const carob_upstream_table_t *table, carob_str_t id)
 {
-	for (size_t i = 0; i < table->count; i++)
-		if (table->items[i].used &&
-		    carob_str_eq(carob_str_from(table->items[i].id), id))
-			return (carob_upstream_index_t)i;
-	return CAROB_UPSTREAM_NONE;
+	uint32_t at = carob_index_map_first(&table->by_id, hash_of_id(id));
+
+	while (at != CAROB_INDEX_END &&
+	       !carob_str_eq(carob_str_from(table->items[at].id), id))
+		at = carob_index_map_next(&table->by_id, at);
+	return at;
 }
 
 /* Of two ids with one tag, the one that is still listed has it. */
@@ -57,50 +71,127 @@
 {
 	carob_upstream_index_t found = CAROB_UPSTREAM_NONE;
 
-	for (size_t i = 0; i < table->count; i++) {
-		const carob_upstream_t *upstream = &table->items[i];
+	for (uint32_t at = carob_index_map_first(&table->by_tag, tag);
+	     at != CAROB_INDEX_END;
+	     at = carob_index_map_next(&table->by_tag, at)) {
+		const carob_upstream_t *upstream = &table->items[at];
 
-		if (!upstream->used || upstream->tag != tag)
+		if (upstream->tag != tag)
 			continue;
-		if (found == CAROB_UPSTREAM_NONE ||
-		    upstream->state != CAROB_UPSTREAM_GONE)
-			found = (carob_upstream_index_t)i;
+		if (upstream->state != CAROB_UPSTREAM_GONE)
+			return at;
+		found = at;
 	}
 	return found;
 }
 
+/* The next index of `service` in its chain, from `at` on. */
+static carob_upstream_index_t skip_others(const carob_upstream_table_t *table,
+					  uint32_t at, carob_name_id_t service)
+{
+	while (at != CAROB_INDEX_END && table->items[at].service != service)
+		at = carob_index_map_next(&table->by_service, at);
+	return at;
+}
+
+carob_upstream_index_t
+carob_upstream_table_first_of(const carob_upstream_table_t *table,
+			      carob_name_id_t service)
+{
+	return skip_others(table,
+			   carob_index_map_first(&table->by_service, service),
+			   service);
+}
+
+carob_upstream_index_t
+carob_upstream_table_next_of(const carob_upstream_table_t *table,
+			     carob_upstream_index_t index)
+{
+	return skip_others(table,
+			   carob_index_map_next(&table->by_service, index),
+			   table->items[index].service);
+}
+
+static void index_one(carob_upstream_table_t *table, carob_upstream_index_t at)
+{
+	const carob_upstream_t *upstream = &table->items[at];
+	uint64_t id = hash_of_id(carob_str_from(upstream->id));
+
+	carob_index_map_add(&table->by_id, id, at);
+	carob_index_map_add(&table->by_tag, upstream->tag, at);
+	carob_index_map_add(&table->by_service, upstream->service, at);
+}
+
+static void unindex(carob_upstream_table_t *table, carob_upstream_index_t at)
+{
+	const carob_upstream_t *upstream = &table->items[at];
+	uint64_t id = hash_of_id(carob_str_from(upstream->id));
+
+	carob_index_map_remove(&table->by_id, id, at);
+	carob_index_map_remove(&table->by_tag, upstream->tag, at);
+	carob_index_map_remove(&table->by_service, upstream->service, at);
+}
+
+static int resize_indexes(carob_upstream_table_t *table, size_t cap)
+{
+	carob_index_map_t by_id = {0};
+	carob_index_map_t by_tag = {0};
+	carob_index_map_t by_service = {0};
+
+	if (carob_index_map_resize(&by_id, cap) != 0 ||
+	    carob_index_map_resize(&by_tag, cap) != 0 ||
+	    carob_index_map_resize(&by_service, cap) != 0) {
+		carob_index_map_dispose(&by_id);
+		carob_index_map_dispose(&by_tag);
+		carob_index_map_dispose(&by_service);
+		return CAROB_ENOMEM;
+	}
+	dispose_indexes(table);
+	table->by_id = by_id;
+	table->by_tag = by_tag;
+	table->by_service = by_service;
+	for (size_t i = 0; i < table->count; i++)
+		if (table->items[i].used)
+			index_one(table, (carob_upstream_index_t)i);
+	return 0;
+}
+
 static int grow(carob_upstream_table_t *table)
 {
 	size_t cap = table->cap ? 2 * table->cap : FIRST_CAP;
 	carob_upstream_t *items = realloc(table->items, cap * sizeof(*items));
+	int error;
 
 	if (!items)
 		return carob_error_set(CAROB_ENOMEM, "upstream table");
 	table->items = items;
-	table->cap = cap;
-	return 0;
+	error = resize_indexes(table, cap);
+	if (!error)
+		table->cap = cap;
+	return error;
 }
 
-static int take_place(carob_upstream_t **out, carob_upstream_table_t *table)
+/* Finds a free place, and adds one behind the last if there is none. */
+static int free_place(carob_upstream_index_t *out,
+		      carob_upstream_table_t *table)
 {
-	int error;
+	int error = 0;
 
-	for (size_t i = 0; i < table->count; i++) {
-		if (!table->items[i].used) {
-			*out = &table->items[i];
-			memset(*out, 0, sizeof(**out));
-			return 0;
-		}
-	}
-	error = table->count == table->cap ? grow(table) : 0;
+	while (table->first_free < table->count &&
+	       table->items[table->first_free].used)
+		table->first_free++;
+	if (table->first_free == table->cap)
+		error = grow(table);
 	if (error)
 		return error;
-	*out = &table->items[table->count++];
-	memset(*out, 0, sizeof(**out));
+	*out = (carob_upstream_index_t)table->first_free;
+	if (table->first_free == table->count)
+		table->count++;
+	memset(&table->items[*out], 0, sizeof(table->items[*out]));
 	return 0;
 }
 
-static int add(carob_upstream_t **out, carob_upstream_table_t *table,
+static int add(carob_upstream_index_t *out, carob_upstream_table_t *table,
 	       carob_str_t id)
 {
 	carob_upstream_t *upstream;
@@ -111,12 +202,14 @@
 				       "upstream id of %zu bytes: expected at "
 				       "most %d",
 				       id.len, CAROB_UPSTREAM_ID_MAX);
-	error = take_place(&upstream, table);
+	error = free_place(out, table);
 	if (error)
 		return error;
+	upstream = &table->items[*out];
 	memcpy(upstream->id, id.ptr, id.len);
 	upstream->state = CAROB_UPSTREAM_GONE;
-	*out = upstream;
+	upstream->used = true;
+	index_one(table, *out);
 	return 0;
 }
 
@@ -129,17 +222,9 @@
 }
 
 /* Takes over what an entry says, but for its state. */
-static int fill(carob_upstream_table_t *table, carob_upstream_t *upstream,
-		const carob_upstream_entry_t *entry, uint64_t now_ns)
+static void fill(carob_upstream_t *upstream,
+		 const carob_upstream_entry_t *entry, uint64_t now_ns)
 {
-	int error = carob_name_table_add(&upstream->service, &table->services,
-					 entry->service);
-
-	if (!error)
-		error = carob_name_table_add(&upstream->zone, &table->zones,
-					     entry->zone);
-	if (error)
-		return error;
 	if (upstream->started_ms != entry->started_ms)
 		forget_failures(upstream);
 	upstream->number = entry->number;
@@ -149,9 +234,7 @@
 	upstream->started_ms = entry->started_ms;
 	upstream->cold_until_ns =
 		now_ns + (uint64_t)entry->cold_ms * CAROB_NS_PER_MS;
-	upstream->used = true;
 	upstream->listed = true;
-	return 0;
 }
 
 int carob_upstream_table_put(carob_upstream_table_t *table,
@@ -162,22 +245,30 @@
 		carob_upstream_table_by_id(table, entry->id);
 	carob_upstream_state_t state = entry->draining ? CAROB_UPSTREAM_DRAINING
 						       : CAROB_UPSTREAM_READY;
-	carob_upstream_t *upstream = NULL;
+	carob_name_id_t service;
+	carob_name_id_t zone;
+	carob_upstream_t *upstream;
 	int error;
 
-	if (at == CAROB_UPSTREAM_NONE) {
-		error = add(&upstream, table, entry->id);
-		if (!upstream)
-			return error;
-	} else {
-		upstream = &table->items[at];
-		upstream->listed = true;
-		if (revision <= upstream->revision)
+	if (at != CAROB_UPSTREAM_NONE) {
+		table->items[at].listed = true;
+		if (revision <= table->items[at].revision)
 			return CAROB_ESTALE;
 	}
-	error = fill(table, upstream, entry, now_ns);
+	error = carob_name_table_add(&service, &table->services,
+				     entry->service);
+	if (!error)
+		error = carob_name_table_add(&zone, &table->zones, entry->zone);
+	if (!error && at == CAROB_UPSTREAM_NONE)
+		error = add(&at, table, entry->id);
 	if (error)
 		return error;
+	upstream = &table->items[at];
+	unindex(table, at);
+	upstream->service = service;
+	upstream->zone = zone;
+	fill(upstream, entry, now_ns);
+	index_one(table, at);
 	upstream->revision = revision;
 	if (upstream->state != state)
 		set_state(table, upstream, state, now_ns);
@@ -239,6 +330,14 @@
 	}
 }
 
+static void forget(carob_upstream_table_t *table, carob_upstream_index_t at)
+{
+	unindex(table, at);
+	table->items[at].used = false;
+	if (at < table->first_free)
+		table->first_free = at;
+}
+
 void carob_upstream_table_forget_gone(carob_upstream_table_t *table,
 				      uint64_t after_ns, uint64_t now_ns)
 {
@@ -248,13 +347,14 @@
 		if (upstream->used && upstream->state == CAROB_UPSTREAM_GONE &&
 		    upstream->open_flows == 0 &&
 		    now_ns - upstream->changed_ns > after_ns)
-			upstream->used = false;
+			forget(table, (carob_upstream_index_t)i);
 	}
 }
 
 void carob_upstream_table_dispose(carob_upstream_table_t *table)
 {
 	free(table->items);
+	dispose_indexes(table);
 	carob_name_table_dispose(&table->services);
 	carob_name_table_dispose(&table->zones);
 	memset(table, 0, sizeof(*table));
--- /dev/null
+++ b/tests/flow/upstream_table_test.c
@@ -0,0 +1,194 @@
+#include "carobtrail/errors.h"
+#include "carobtrail/log.h"
+#include "flow/flow_fixture.h"
+
+#include <stdio.h>
+
+#define MANY 3000
+
+static carob_upstream_entry_t entry_of(char id[16], uint32_t number,
+				       const char *service)
+{
+	(void)snprintf(id, 16, "i-%08x", number);
+	return (carob_upstream_entry_t){
+		.id = carob_str_from(id),
+		.number = number,
+		.service = carob_str_from(service),
+		.zone = carob_str_from("a"),
+		.endpoint = {0x0a000000 + number, 8080},
+		.slots = 2,
+	};
+}
+
+static void put(carob_upstream_table_t *table, uint32_t number,
+		const char *service, uint64_t revision)
+{
+	char id[16];
+	carob_upstream_entry_t entry = entry_of(id, number, service);
+
+	CU_ASSERT_EQUAL_FATAL(carob_upstream_table_put(table, &entry, revision,
+						       FIXTURE_START),
+			      0);
+}
+
+static carob_upstream_index_t find(const carob_upstream_table_t *table,
+				   uint32_t number)
+{
+	char id[16];
+
+	return carob_upstream_table_by_id(table, entry_of(id, number, "").id);
+}
+
+static void remove_one(carob_upstream_table_t *table, uint32_t number,
+		       uint64_t revision)
+{
+	char id[16];
+
+	carob_upstream_table_remove(table, entry_of(id, number, "").id,
+				    revision, CAROB_UPSTREAM_GONE,
+				    FIXTURE_START);
+}
+
+static size_t count_of(const carob_upstream_table_t *table, const char *service)
+{
+	carob_name_id_t id = carob_name_table_find(&table->services,
+						   carob_str_from(service));
+	size_t count = 0;
+
+	CAROB_UPSTREAMS_OF (at, table, id) {
+		CU_ASSERT_EQUAL(table->items[at].service, id);
+		count++;
+	}
+	return count;
+}
+
+static void test_finds_each_of_many(void)
+{
+	carob_upstream_table_t table = {0};
+
+	for (uint32_t i = 1; i <= MANY; i++)
+		put(&table, i, i % 3 ? "slots" : "documents", i);
+	for (uint32_t i = 1; i <= MANY; i++) {
+		carob_upstream_index_t at = find(&table, i);
+
+		CU_ASSERT_NOT_EQUAL_FATAL(at, CAROB_UPSTREAM_NONE);
+		CU_ASSERT_EQUAL(table.items[at].number, i);
+		CU_ASSERT_EQUAL(carob_upstream_table_by_tag(
+					&table, carob_upstream_tag(i)),
+				at);
+	}
+	CU_ASSERT_EQUAL(find(&table, MANY + 1), CAROB_UPSTREAM_NONE);
+	CU_ASSERT_EQUAL(count_of(&table, "slots"), 2 * MANY / 3);
+	CU_ASSERT_EQUAL(count_of(&table, "documents"), MANY / 3);
+	carob_upstream_table_dispose(&table);
+}
+
+static void test_an_empty_table_has_none(void)
+{
+	carob_upstream_table_t table = {0};
+
+	CU_ASSERT_EQUAL(find(&table, 1), CAROB_UPSTREAM_NONE);
+	CU_ASSERT_EQUAL(carob_upstream_table_by_tag(&table, 1),
+			CAROB_UPSTREAM_NONE);
+	CU_ASSERT_EQUAL(count_of(&table, "slots"), 0);
+}
+
+static void test_moves_to_another_service(void)
+{
+	carob_upstream_table_t table = {0};
+
+	put(&table, 1, "slots", 1);
+	put(&table, 2, "slots", 2);
+	put(&table, 1, "documents", 3);
+	CU_ASSERT_EQUAL(count_of(&table, "slots"), 1);
+	CU_ASSERT_EQUAL(count_of(&table, "documents"), 1);
+	CU_ASSERT_EQUAL(table.count, 2);
+	carob_upstream_table_dispose(&table);
+}
+
+/* Places of forgotten upstreams are used again, and nothing finds the old. */
+static void test_forgets_and_uses_places_again(void)
+{
+	carob_upstream_table_t table = {0};
+
+	for (uint32_t i = 1; i <= 100; i++)
+		put(&table, i, "slots", i);
+	for (uint32_t i = 1; i <= 100; i += 2)
+		remove_one(&table, i, 100 + i);
+	carob_upstream_table_forget_gone(&table, CAROB_NS_PER_S,
+					 FIXTURE_START + 2 * CAROB_NS_PER_S);
+	CU_ASSERT_EQUAL(count_of(&table, "slots"), 50);
+	CU_ASSERT_EQUAL(find(&table, 1), CAROB_UPSTREAM_NONE);
+	CU_ASSERT_EQUAL(carob_upstream_table_by_tag(&table,
+						    carob_upstream_tag(1)),
+			CAROB_UPSTREAM_NONE);
+	for (uint32_t i = 201; i <= 250; i++)
+		put(&table, i, "slots", i);
+	CU_ASSERT_EQUAL(table.count, 100);
+	CU_ASSERT_EQUAL(count_of(&table, "slots"), 100);
+	CU_ASSERT_NOT_EQUAL(find(&table, 201), CAROB_UPSTREAM_NONE);
+	CU_ASSERT_NOT_EQUAL(find(&table, 2), CAROB_UPSTREAM_NONE);
+	carob_upstream_table_dispose(&table);
+}
+
+/* Two ids with one tag: the one that is listed gets the flows. */
+static void test_a_shared_tag_names_the_listed_one(void)
+{
+	static const struct {
+		uint32_t removed;
+		uint32_t expected;
+	} cases[] = {{1, 2}, {2, 1}};
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(cases); i++) {
+		carob_upstream_table_t table = {0};
+		carob_upstream_entry_t entry;
+		char id[16];
+
+		for (uint32_t n = 1; n <= 2; n++) {
+			entry = entry_of(id, n, "slots");
+			entry.number = 7;
+			CU_ASSERT_EQUAL_FATAL(
+				carob_upstream_table_put(&table, &entry, n,
+							 FIXTURE_START),
+				0);
+		}
+		remove_one(&table, cases[i].removed, 3);
+		CU_ASSERT_EQUAL(carob_upstream_table_by_tag(&table, 7),
+				find(&table, cases[i].expected));
+		carob_upstream_table_dispose(&table);
+	}
+}
+
+/* A name that is too long leaves the table as it was. */
+static void test_refuses_a_long_id(void)
+{
+	char id[CAROB_UPSTREAM_ID_MAX + 2];
+	carob_upstream_table_t table = {0};
+	char short_id[16];
+	carob_upstream_entry_t entry = entry_of(short_id, 1, "slots");
+
+	memset(id, 'i', sizeof(id));
+	entry.id = (carob_str_t){.ptr = id, .len = sizeof(id)};
+	CU_ASSERT_EQUAL(carob_upstream_table_put(&table, &entry, 1,
+						 FIXTURE_START),
+			CAROB_ELIMIT);
+	CU_ASSERT_EQUAL(table.count, 0);
+	carob_upstream_table_dispose(&table);
+}
+
+int main(void)
+{
+	static const test_case_t cases[] = {
+		{"finds each of many", test_finds_each_of_many},
+		{"an empty table has none", test_an_empty_table_has_none},
+		{"moves to another service", test_moves_to_another_service},
+		{"forgets and uses places again",
+		 test_forgets_and_uses_places_again},
+		{"a shared tag names the listed one",
+		 test_a_shared_tag_names_the_listed_one},
+		{"refuses a long id", test_refuses_a_long_id},
+	};
+
+	carob_log_configure("test", NULL, CAROB_LOG_ERROR, NULL);
+	return run_tests("upstream table", cases, CAROB_ARRAY_SIZE(cases));
+}
