net: a full log buffer is written before lines are dropped

Cause: lines were written only every 100 ms, so a burst larger than the 64 KB buffer lost lines while the pipe was empty. At a site of 298 machines and 3,000 upstreams each page of the start's listing lost some 220 lines, and with them the lines of 16 instances' complete listing and of 41 instances' readiness (of 297). Ruled out: a reader that is slow. The test writes 90 KB in one go; it failed first.

--- a/src/net/log_output.c
+++ b/src/net/log_output.c
@@ -72,12 +72,19 @@
 		arm(output);
 }
 
+static bool has_room(const carob_log_output_t *output, size_t bytes)
+{
+	return bytes <= sizeof(output->buffer) - output->len;
+}
+
 static void sink_write(carob_log_sink_t *sink, carob_str_t line)
 {
 	carob_log_output_t *output =
 		CAROB_CONTAINER_OF(sink, carob_log_output_t, sink);
 
-	if (line.len > sizeof(output->buffer) - output->len) {
+	if (!has_room(output, line.len))
+		write_all(output);
+	if (!has_room(output, line.len)) {
 		output->dropped++;
 		arm(output);
 		return;
--- a/tests/net/log_output_test.c
+++ b/tests/net/log_output_test.c
@@ -8,6 +8,8 @@
 
 #define READ_BYTES (256 * 1024)
 #define SECOND	   CAROB_NS_PER_S
+/* 90 KB: more than the buffer, less than it and the pipe together */
+#define BURST_LINES 900
 
 typedef struct bed {
 	carob_manual_clock_t clock;
@@ -92,6 +94,19 @@
 	bed_dispose(&bed);
 }
 
+/* A burst that is larger than the buffer, as at the listing of a large site,
+ * goes out while the pipe takes it. */
+static void test_a_burst_beyond_the_buffer(void)
+{
+	static bed_t bed;
+
+	bed_init(&bed);
+	for (int i = 0; i < BURST_LINES; i++)
+		carob_log_write(CAROB_EV_STARTED, NULL, 0);
+	CU_ASSERT_EQUAL(carob_log_output_dropped(bed.output), 0);
+	bed_dispose(&bed);
+}
+
 static void test_the_last_lines_are_written_at_the_end(void)
 {
 	static bed_t bed;
@@ -109,6 +124,7 @@
 	static const test_case_t cases[] = {
 		{"lines share a write", test_lines_share_a_write},
 		{"a reader that stands still", test_a_reader_that_stands_still},
+		{"a burst beyond the buffer", test_a_burst_beyond_the_buffer},
 		{"the last lines are written at the end",
 		 test_the_last_lines_are_written_at_the_end},
 	};
