core: the flat folder of 96 files becomes eight by what they decide

Moves and include paths only, but for one: what an instance's part in the cluster asks of the others stands in cluster_host.h now, since keys, hand-over and exchange of load included cluster.h, which joins them.

--- a/bench/slopes_manifest.c
+++ b/bench/slopes_manifest.c
@@ -1,8 +1,8 @@
 #include "slopes.h"
 
 #include "carobtrail/publish.h"
-#include "core/kv_memory.h"
-#include "core/manifest_json.h"
+#include "core/manifest/kv_memory.h"
+#include "core/manifest/manifest_json.h"
 #include "slope_series.h"
 
 #include <stdlib.h>
--- a/bench/slopes_membership.c
+++ b/bench/slopes_membership.c
@@ -6,7 +6,7 @@
  * Usage: bench-slopes-membership [seed]
  */
 #include "carobtrail/membership.h"
-#include "core/gossip_links.h"
+#include "core/membership/gossip_links.h"
 #include "gossip_sim.h"
 
 #include <inttypes.h>
--- a/bench/slopes_spread.c
+++ b/bench/slopes_spread.c
@@ -2,7 +2,7 @@
 
 #include "carobtrail/manifest_sync.h"
 #include "carobtrail/publish.h"
-#include "core/kv_memory.h"
+#include "core/manifest/kv_memory.h"
 #include "slope_series.h"
 
 #include <math.h>
--- a/fuzzers/manifest_delta_fuzzer.c
+++ b/fuzzers/manifest_delta_fuzzer.c
@@ -1,7 +1,7 @@
 #include "carobtrail/manifest.h"
-#include "core/manifest_history.h"
-#include "core/manifest_json.h"
-#include "core/publish_doc.h"
+#include "core/manifest/manifest_history.h"
+#include "core/manifest/manifest_json.h"
+#include "core/manifest/publish_doc.h"
 
 #include <stdlib.h>
 
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -8,7 +8,7 @@
 #include "carobtrail/kv.h"
 #include "carobtrail/manifest.h"
 #include "carobtrail/manifest_store.h"
-#include "core/publish_doc.h"
+#include "core/manifest/publish_doc.h"
 #include "net/loop.h"
 #include "net/platform_client.h"
 
--- a/src/cli/published.c
+++ b/src/cli/published.c
@@ -1,7 +1,7 @@
 #include "cli.h"
 
 #include "carobtrail/errors.h"
-#include "core/manifest_fetch.h"
+#include "core/manifest/manifest_fetch.h"
 
 /* Reading what is published, in progress. */
 typedef struct reader {
--- a/src/core/cluster.c
+++ b/src/core/cluster/cluster.c
@@ -2,9 +2,9 @@
 
 #include "carobtrail/errors.h"
 #include "carobtrail/rng.h"
-#include "core/handover.h"
-#include "core/keys.h"
-#include "core/load_exchange.h"
+#include "core/requests/handover.h"
+#include "core/keys/keys.h"
+#include "core/scheduling/load_exchange.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/keys.c
+++ b/src/core/keys/keys.c
@@ -1,9 +1,9 @@
-#include "core/keys.h"
+#include "core/keys/keys.h"
 
 #include "carobtrail/errors.h"
 #include "carobtrail/log.h"
 #include "carobtrail/rng.h"
-#include "core/keyset.h"
+#include "core/keys/keyset.h"
 
 #include <sodium.h>
 #include <stdio.h>
--- a/src/core/keys.h
+++ b/src/core/keys/keys.h
@@ -8,7 +8,8 @@
 #ifndef CAROB_CORE_KEYS_H
 #define CAROB_CORE_KEYS_H
 
-#include "carobtrail/cluster.h"
+#include "carobtrail/cluster_host.h"
+#include "carobtrail/gossip.h"
 #include "carobtrail/keyring.h"
 #include "carobtrail/kv.h"
 
--- a/src/core/keyset.c
+++ b/src/core/keys/keyset.c
@@ -1,4 +1,4 @@
-#include "core/keyset.h"
+#include "core/keys/keyset.h"
 
 #include "carobtrail/errors.h"
 #include "util/json_doc.h"
--- a/src/core/token.c
+++ b/src/core/keys/token.c
@@ -1,7 +1,7 @@
 #include "carobtrail/token.h"
 
 #include "carobtrail/errors.h"
-#include "core/bytes.h"
+#include "core/messages/bytes.h"
 
 #include <assert.h>
 #include <sodium.h>
--- a/src/core/delta_log.c
+++ b/src/core/manifest/delta_log.c
@@ -1,4 +1,4 @@
-#include "core/delta_log.h"
+#include "core/manifest/delta_log.h"
 
 static carob_delta_t *at(carob_delta_log_t *log, size_t i)
 {
--- a/src/core/kv_memory.c
+++ b/src/core/manifest/kv_memory.c
@@ -1,4 +1,4 @@
-#include "core/kv_memory.h"
+#include "core/manifest/kv_memory.h"
 
 #include "carobtrail/errors.h"
 #include "carobtrail/rng.h"
--- a/src/core/manifest.c
+++ b/src/core/manifest/manifest.c
@@ -1,4 +1,4 @@
-#include "core/manifest_priv.h"
+#include "core/manifest/manifest_priv.h"
 
 #include "carobtrail/errors.h"
 
--- a/src/core/manifest_build.h
+++ b/src/core/manifest/manifest_build.h
@@ -6,8 +6,8 @@
 #ifndef CAROB_CORE_MANIFEST_BUILD_H
 #define CAROB_CORE_MANIFEST_BUILD_H
 
-#include "core/manifest_check.h"
-#include "core/manifest_json.h"
+#include "core/manifest/manifest_check.h"
+#include "core/manifest/manifest_json.h"
 
 /** A service with its upstreams and names, shared by reference. */
 typedef struct carob_service_block carob_service_block_t;
--- a/src/core/manifest_check.c
+++ b/src/core/manifest/manifest_check.c
@@ -1,4 +1,4 @@
-#include "core/manifest_check.h"
+#include "core/manifest/manifest_check.h"
 
 #include "carobtrail/errors.h"
 
--- a/src/core/manifest_fetch.c
+++ b/src/core/manifest/manifest_fetch.c
@@ -1,4 +1,4 @@
-#include "core/manifest_fetch.h"
+#include "core/manifest/manifest_fetch.h"
 
 #include "carobtrail/errors.h"
 
--- a/src/core/manifest_fetch.h
+++ b/src/core/manifest/manifest_fetch.h
@@ -6,7 +6,7 @@
 #ifndef CAROB_CORE_MANIFEST_FETCH_H
 #define CAROB_CORE_MANIFEST_FETCH_H
 
-#include "core/publish_doc.h"
+#include "core/manifest/publish_doc.h"
 
 typedef struct carob_fetch carob_fetch_t;
 
--- a/src/core/manifest_history.c
+++ b/src/core/manifest/manifest_history.c
@@ -1,4 +1,4 @@
-#include "core/manifest_history.h"
+#include "core/manifest/manifest_history.h"
 
 #include "carobtrail/errors.h"
 #include "util/json_doc.h"
--- a/src/core/manifest_json.c
+++ b/src/core/manifest/manifest_json.c
@@ -1,7 +1,7 @@
-#include "core/manifest_json.h"
+#include "core/manifest/manifest_json.h"
 
 #include "carobtrail/errors.h"
-#include "core/manifest_build.h"
+#include "core/manifest/manifest_build.h"
 
 #include <sodium.h>
 #include <string.h>
--- a/src/core/manifest_patch.c
+++ b/src/core/manifest/manifest_patch.c
@@ -1,4 +1,4 @@
-#include "core/manifest_build.h"
+#include "core/manifest/manifest_build.h"
 
 #include "carobtrail/errors.h"
 #include "util/json_doc.h"
--- a/src/core/manifest_priv.h
+++ b/src/core/manifest/manifest_priv.h
@@ -5,7 +5,7 @@
 #ifndef CAROB_CORE_MANIFEST_PRIV_H
 #define CAROB_CORE_MANIFEST_PRIV_H
 
-#include "core/manifest_build.h"
+#include "core/manifest/manifest_build.h"
 
 /** A service with its upstreams and the bytes of all its names. */
 struct carob_service_block {
--- a/src/core/manifest_read.c
+++ b/src/core/manifest/manifest_read.c
@@ -1,5 +1,5 @@
 #include "carobtrail/errors.h"
-#include "core/manifest_priv.h"
+#include "core/manifest/manifest_priv.h"
 #include "util/json_doc.h"
 
 #include <stdlib.h>
--- a/src/core/manifest_sync_platform.c
+++ b/src/core/manifest/manifest_sync_platform.c
@@ -1,4 +1,4 @@
-#include "core/manifest_sync_state.h"
+#include "core/manifest/manifest_sync_state.h"
 
 #include "carobtrail/errors.h"
 #include "carobtrail/log.h"
--- a/src/core/manifest_sync_state.h
+++ b/src/core/manifest/manifest_sync_state.h
@@ -7,8 +7,8 @@
 
 #include "carobtrail/manifest_sync.h"
 #include "carobtrail/rng.h"
-#include "core/delta_log.h"
-#include "core/manifest_fetch.h"
+#include "core/manifest/delta_log.h"
+#include "core/manifest/manifest_fetch.h"
 
 /** Peers remembered as having a later generation. */
 #define CAROB_SYNC_CANDIDATES_MAX 8
--- a/src/core/publish.c
+++ b/src/core/manifest/publish.c
@@ -2,9 +2,9 @@
 
 #include "carobtrail/errors.h"
 #include "carobtrail/rng.h"
-#include "core/manifest_fetch.h"
-#include "core/manifest_history.h"
-#include "core/publish_doc.h"
+#include "core/manifest/manifest_fetch.h"
+#include "core/manifest/manifest_history.h"
+#include "core/manifest/publish_doc.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
--- a/src/core/publish_clean.c
+++ b/src/core/manifest/publish_clean.c
@@ -1,7 +1,7 @@
 #include "carobtrail/publish.h"
 
 #include "carobtrail/errors.h"
-#include "core/publish_doc.h"
+#include "core/manifest/publish_doc.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/publish_doc.c
+++ b/src/core/manifest/publish_doc.c
@@ -1,4 +1,4 @@
-#include "core/publish_doc.h"
+#include "core/manifest/publish_doc.h"
 
 #include "carobtrail/errors.h"
 #include "carobtrail/rng.h"
--- a/src/core/publish_doc.h
+++ b/src/core/manifest/publish_doc.h
@@ -16,7 +16,7 @@
 
 #include "carobtrail/kv.h"
 #include "carobtrail/manifest_store.h"
-#include "core/manifest_json.h"
+#include "core/manifest/manifest_json.h"
 
 /** Parts that the services of a manifest are spread over. */
 #define CAROB_PART_COUNT 16
--- a/src/core/gossip.c
+++ b/src/core/membership/gossip.c
@@ -1,4 +1,4 @@
-#include "core/gossip_internal.h"
+#include "core/membership/gossip_internal.h"
 
 #include "carobtrail/errors.h"
 #include "carobtrail/log.h"
--- a/src/core/gossip_check.c
+++ b/src/core/membership/gossip_check.c
@@ -1,4 +1,4 @@
-#include "core/gossip_internal.h"
+#include "core/membership/gossip_internal.h"
 
 #define HELPERS		  3
 #define CHECK_NS	  (850 * CAROB_NS_PER_MS)
--- a/src/core/gossip_internal.h
+++ b/src/core/membership/gossip_internal.h
@@ -9,9 +9,9 @@
 
 #include "carobtrail/gossip.h"
 #include "carobtrail/rng.h"
-#include "core/gossip_links.h"
-#include "core/gossip_news.h"
-#include "core/gossip_zones.h"
+#include "core/membership/gossip_links.h"
+#include "core/membership/gossip_news.h"
+#include "core/membership/gossip_zones.h"
 
 #define CAROB_GOSSIP_HINTS_MAX 16
 /** Checks that this instance makes for others at a time. */
--- a/src/core/gossip_links.c
+++ b/src/core/membership/gossip_links.c
@@ -1,4 +1,4 @@
-#include "core/gossip_links.h"
+#include "core/membership/gossip_links.h"
 
 #include "carobtrail/rng.h"
 
--- a/src/core/gossip_links.h
+++ b/src/core/membership/gossip_links.h
@@ -11,7 +11,7 @@
 #define CAROB_CORE_GOSSIP_LINKS_H
 
 #include "carobtrail/gossip.h"
-#include "core/gossip_zones.h"
+#include "core/membership/gossip_zones.h"
 
 /** Why there is a link. */
 typedef enum carob_link_kind {
--- a/src/core/gossip_news.c
+++ b/src/core/membership/gossip_news.c
@@ -1,4 +1,4 @@
-#include "core/gossip_news.h"
+#include "core/membership/gossip_news.h"
 
 #include <stdlib.h>
 
--- a/src/core/gossip_zones.c
+++ b/src/core/membership/gossip_zones.c
@@ -1,4 +1,4 @@
-#include "core/gossip_zones.h"
+#include "core/membership/gossip_zones.h"
 
 #include <string.h>
 
--- a/src/core/msg_pack.c
+++ b/src/core/messages/msg_pack.c
@@ -1,7 +1,7 @@
-#include "core/msg_pack.h"
+#include "core/messages/msg_pack.h"
 
 #include "carobtrail/errors.h"
-#include "core/bytes.h"
+#include "core/messages/bytes.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/cancel.c
+++ b/src/core/requests/cancel.c
@@ -1,4 +1,4 @@
-#include "core/entry_priv.h"
+#include "core/requests/entry_priv.h"
 
 #define SEARCH_MEMBERS_MAX 8
 #define SEARCHES_PER_S_MAX 100 /* a Reset of any address may cause one */
--- a/src/core/drain.c
+++ b/src/core/requests/drain.c
@@ -1,8 +1,8 @@
-#include "core/entry_priv.h"
+#include "core/requests/entry_priv.h"
 
 #include "carobtrail/errors.h"
 #include "carobtrail/log.h"
-#include "core/bytes.h"
+#include "core/messages/bytes.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/entry_priv.h
+++ b/src/core/requests/entry_priv.h
@@ -8,9 +8,9 @@
 #include "carobtrail/entry.h"
 #include "carobtrail/rng.h"
 #include "carobtrail/token.h"
-#include "core/msg_pack.h"
-#include "core/request_trace.h"
-#include "core/retry_budget.h"
+#include "core/messages/msg_pack.h"
+#include "core/requests/request_trace.h"
+#include "core/scheduling/retry_budget.h"
 
 #include <uthash.h>
 
--- a/src/core/feed.c
+++ b/src/core/requests/feed.c
@@ -1,4 +1,4 @@
-#include "core/entry_priv.h"
+#include "core/requests/entry_priv.h"
 
 #define FEED_MAX_AGE_S	    60
 #define REFRESH_LIMIT_NS    (15 * 60 * CAROB_NS_PER_S)
--- a/src/core/handover.c
+++ b/src/core/requests/handover.c
@@ -1,9 +1,9 @@
-#include "core/handover.h"
+#include "core/requests/handover.h"
 
 #include "carobtrail/errors.h"
 #include "carobtrail/log.h"
 #include "carobtrail/rng.h"
-#include "core/handover_receiver.h"
+#include "core/requests/handover_receiver.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/handover.h
+++ b/src/core/requests/handover.h
@@ -13,7 +13,8 @@
 #ifndef CAROB_CORE_HANDOVER_H
 #define CAROB_CORE_HANDOVER_H
 
-#include "carobtrail/cluster.h"
+#include "carobtrail/cluster_host.h"
+#include "carobtrail/gossip.h"
 
 typedef struct carob_handover carob_handover_t;
 
--- a/src/core/handover_receiver.c
+++ b/src/core/requests/handover_receiver.c
@@ -1,7 +1,7 @@
-#include "core/handover_receiver.h"
+#include "core/requests/handover_receiver.h"
 
 #include "carobtrail/errors.h"
-#include "core/handover.h"
+#include "core/requests/handover.h"
 
 #define KEEP_NS (120 * CAROB_NS_PER_S) /* after the last part */
 
--- a/src/core/handover_receiver.h
+++ b/src/core/requests/handover_receiver.h
@@ -6,7 +6,7 @@
 #ifndef CAROB_CORE_HANDOVER_RECEIVER_H
 #define CAROB_CORE_HANDOVER_RECEIVER_H
 
-#include "carobtrail/cluster.h"
+#include "carobtrail/cluster_host.h"
 
 /** Hand-overs in progress, or kept to answer a repeated last part. */
 #define CAROB_HANDOVER_TRANSFERS_MAX 8
--- a/src/core/pause.c
+++ b/src/core/requests/pause.c
@@ -1,4 +1,4 @@
-#include "core/entry_priv.h"
+#include "core/requests/entry_priv.h"
 
 #define TICK_NS	     (500 * CAROB_NS_PER_MS)
 #define PAUSE_MIN_NS (1500 * CAROB_NS_PER_MS)
--- a/src/core/request_duplicate.c
+++ b/src/core/requests/request_duplicate.c
@@ -1,4 +1,4 @@
-#include "core/entry_priv.h"
+#include "core/requests/entry_priv.h"
 
 static void run_again(carob_entry_t *entry, carob_record_t *record,
 		      carob_packet_t *packet)
--- a/src/core/request_trace.c
+++ b/src/core/requests/request_trace.c
@@ -1,4 +1,4 @@
-#include "core/request_trace.h"
+#include "core/requests/request_trace.h"
 
 #include <stdlib.h>
 
--- a/src/core/request_upstream.c
+++ b/src/core/requests/request_upstream.c
@@ -1,4 +1,4 @@
-#include "core/entry_priv.h"
+#include "core/requests/entry_priv.h"
 
 #include <string.h>
 
--- a/src/core/health.c
+++ b/src/core/scheduling/health.c
@@ -2,7 +2,7 @@
 
 #include "carobtrail/errors.h"
 #include "carobtrail/log.h"
-#include "core/health_targets.h"
+#include "core/scheduling/health_targets.h"
 
 #include <stdlib.h>
 
--- a/src/core/health_targets.c
+++ b/src/core/scheduling/health_targets.c
@@ -1,8 +1,8 @@
-#include "core/health_targets.h"
+#include "core/scheduling/health_targets.h"
 
 #include "carobtrail/errors.h"
 #include "carobtrail/rng.h"
-#include "core/assignment.h"
+#include "core/scheduling/assignment.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/load_exchange.c
+++ b/src/core/scheduling/load_exchange.c
@@ -1,4 +1,4 @@
-#include "core/load_exchange.h"
+#include "core/scheduling/load_exchange.h"
 
 #include "carobtrail/errors.h"
 
--- a/src/core/load_exchange.h
+++ b/src/core/scheduling/load_exchange.h
@@ -6,7 +6,7 @@
 #ifndef CAROB_CORE_LOAD_EXCHANGE_H
 #define CAROB_CORE_LOAD_EXCHANGE_H
 
-#include "carobtrail/cluster.h"
+#include "carobtrail/cluster_host.h"
 #include "carobtrail/rng.h"
 
 /** Most peers that are told in one round. */
--- a/src/core/retry_budget.c
+++ b/src/core/scheduling/retry_budget.c
@@ -1,4 +1,4 @@
-#include "core/retry_budget.h"
+#include "core/scheduling/retry_budget.h"
 
 void carob_retry_budget_earn(carob_retry_budget_t *budget)
 {
--- a/src/core/scheduler_state.h
+++ b/src/core/scheduling/scheduler_state.h
@@ -6,7 +6,7 @@
 #define CAROBTRAIL_SCHEDULER_STATE_H
 
 #include "load_table.h"
-#include "settled_members.h"
+#include "core/membership/settled_members.h"
 #include "upstream_slots.h"
 
 /** When to come back to a service that no manifest in force here names. */
--- a/tests/core/entry_world.h
+++ b/tests/core/entry_world.h
@@ -9,7 +9,7 @@
 
 #include "carobtrail/entry.h"
 #include "carobtrail/token.h"
-#include "core/msg_pack.h"
+#include "core/messages/msg_pack.h"
 
 #define WORLD_INSTANCES_MAX 4
 #define WORLD_UPSTREAMS_MAX 8
--- a/tests/core/keyset_test.c
+++ b/tests/core/keys/keyset_test.c
@@ -1,7 +1,7 @@
 #include "test_runner.h"
 
 #include "carobtrail/errors.h"
-#include "core/keyset.h"
+#include "core/keys/keyset.h"
 
 #include <sodium.h>
 #include <string.h>
--- a/tests/core/manifest_history_test.c
+++ b/tests/core/manifest/manifest_history_test.c
@@ -1,7 +1,7 @@
 #include "test_runner.h"
 
 #include "carobtrail/errors.h"
-#include "core/manifest_history.h"
+#include "core/manifest/manifest_history.h"
 
 #include <string.h>
 
--- a/tests/core/manifest_json_test.c
+++ b/tests/core/manifest/manifest_json_test.c
@@ -3,7 +3,7 @@
 #include "carobtrail/errors.h"
 #include "carobtrail/manifest.h"
 #include "carobtrail/rng.h"
-#include "core/manifest_json.h"
+#include "core/manifest/manifest_json.h"
 
 #include <string.h>
 
--- a/tests/core/publish_explore_test.c
+++ b/tests/core/manifest/publish_explore_test.c
@@ -8,7 +8,7 @@
 #include "core/manifest_fixture.h"
 
 #include "carobtrail/rng.h"
-#include "core/manifest_fetch.h"
+#include "core/manifest/manifest_fetch.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/core/publish_test.c
+++ b/tests/core/manifest/publish_test.c
@@ -1,6 +1,6 @@
 #include "core/manifest_fixture.h"
 
-#include "core/manifest_fetch.h"
+#include "core/manifest/manifest_fetch.h"
 
 typedef struct fetched {
 	carob_fetch_t fetch;
--- a/tests/core/manifest_fixture.h
+++ b/tests/core/manifest_fixture.h
@@ -9,8 +9,8 @@
 
 #include "carobtrail/errors.h"
 #include "carobtrail/publish.h"
-#include "core/kv_memory.h"
-#include "core/publish_doc.h"
+#include "core/manifest/kv_memory.h"
+#include "core/manifest/publish_doc.h"
 
 #include <string.h>
 
--- a/tests/core/ownership_explore_test.c
+++ b/tests/core/requests/ownership_explore_test.c
@@ -16,7 +16,7 @@
  */
 #include "test_runner.h"
 
-#include "core/entry_priv.h"
+#include "core/requests/entry_priv.h"
 #include "core/entry_world.h"
 
 #include <stdio.h>
--- a/tests/core/request_trace_test.c
+++ b/tests/core/requests/request_trace_test.c
@@ -1,6 +1,6 @@
 #include "test_runner.h"
 
-#include "core/request_trace.h"
+#include "core/requests/request_trace.h"
 
 #include <string.h>
 
--- a/tests/core/assignment_test.c
+++ b/tests/core/scheduling/assignment_test.c
@@ -1,6 +1,6 @@
 #include "test_runner.h"
 
-#include "core/assignment.h"
+#include "core/scheduling/assignment.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/tests/net/keys_test.c
+++ b/tests/net/keys_test.c
@@ -1,6 +1,6 @@
 #include "cluster_sim.h"
 
-#include "core/keyset.h"
+#include "core/keys/keyset.h"
 
 #include <string.h>
 
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -13,7 +13,7 @@
 #include "carobtrail/membership.h"
 #include "carobtrail/scheduler.h"
 
-#include "core/msg_pack.h"
+#include "core/messages/msg_pack.h"
 #include "emulator/ledger/ledger.h"
 
 #include <uthash.h>
