--- a/bench/slopes_manifest.c
+++ b/bench/slopes_manifest.c
@@ -1,7 +1,7 @@
 #include "slopes.h"
 
 #include "carobtrail/publish.h"
-#include "core/manifest/kv_memory.h"
+#include "emulator/kv/memory.h"
 #include "core/manifest/manifest_json.h"
 #include "slope_series.h"
 
--- a/bench/slopes_spread.c
+++ b/bench/slopes_spread.c
@@ -2,7 +2,7 @@
 
 #include "carobtrail/manifest_sync.h"
 #include "carobtrail/publish.h"
-#include "core/manifest/kv_memory.h"
+#include "emulator/kv/memory.h"
 #include "slope_series.h"
 
 #include <math.h>
--- a/src/core/manifest/kv_memory.c
+++ b/src/emulator/kv/memory.c
@@ -1,4 +1,4 @@
-#include "core/manifest/kv_memory.h"
+#include "emulator/kv/memory.h"
 
 #include "carobtrail/errors.h"
 #include "carobtrail/rng.h"
--- a/src/core/manifest/kv_memory.h
+++ b/src/emulator/kv/memory.h
@@ -1,11 +1,11 @@
 /**
- * @file kv_memory.h
+ * @file memory.h
  * A fake of the platform's key-value service in memory, for tests and
  * scenarios. With a kernel it answers by itself after a set time; without one
  * its user chooses which waiting call is served next.
  */
-#ifndef CAROB_CORE_KV_MEMORY_H
-#define CAROB_CORE_KV_MEMORY_H
+#ifndef CAROB_EMULATOR_KV_MEMORY_H
+#define CAROB_EMULATOR_KV_MEMORY_H
 
 #include "carobtrail/kernel.h"
 #include "carobtrail/kv.h"
--- a/tests/cluster_sim.h
+++ b/tests/cluster_sim.h
@@ -10,7 +10,7 @@
 
 #include "carobtrail/cluster.h"
 #include "carobtrail/errors.h"
-#include "core/manifest/kv_memory.h"
+#include "emulator/kv/memory.h"
 #include "gossip_sim.h"
 
 static const char *const zones[] = {"hou-a", "hou-b"};
--- a/tests/core/manifest_fixture.h
+++ b/tests/core/manifest_fixture.h
@@ -9,7 +9,7 @@
 
 #include "carobtrail/errors.h"
 #include "carobtrail/publish.h"
-#include "core/manifest/kv_memory.h"
+#include "emulator/kv/memory.h"
 #include "core/manifest/publish_doc.h"
 
 #include <string.h>
