--- /dev/null
+++ b/bench/placing_ways.c
@@ -0,0 +1,124 @@
+#include "placing_ways.h"
+
+#include "carobtrail/rng.h"
+
+/* Of the mean load, an upstream may have this much (Mirrokni, Thorup and
+ * Zadimoghaddam, "Consistent Hashing with Bounded Loads", 2018). */
+#define BOUND_OF_MEAN 1.25
+
+static bool is_candidate(const carob_upstream_table_t *table,
+			 const carob_placement_query_t *query,
+			 carob_upstream_index_t index)
+{
+	return index != query->except &&
+	       carob_upstream_accepts(&table->items[index]);
+}
+
+static double load_of(const carob_upstream_t *upstream)
+{
+	return (double)upstream->open_flows / upstream->slots;
+}
+
+static uint64_t rank_of(const carob_upstream_t *upstream, uint64_t flow_hash)
+{
+	return carob_hash_u64(flow_hash ^ upstream->number);
+}
+
+/* Mean load of the candidates, with the new flow. */
+static double mean_load(const carob_upstream_table_t *table,
+			const carob_placement_query_t *query)
+{
+	double flows = 1;
+	double slots = 0;
+
+	CAROB_UPSTREAMS_OF (i, table, query->service) {
+		if (!is_candidate(table, query, i))
+			continue;
+		flows += table->items[i].open_flows;
+		slots += table->items[i].slots;
+	}
+	return slots > 0 ? flows / slots : 0;
+}
+
+/* The candidate that the hash of the flow ranks first, of those with at most
+ * `most` load (Thaler and Ravishankar, "A Name-Based Mapping Scheme for
+ * Rendezvous", 1996). */
+static carob_upstream_index_t ranked_first(const carob_upstream_table_t *table,
+					   const carob_placement_query_t *query,
+					   double most)
+{
+	carob_upstream_index_t best = CAROB_UPSTREAM_NONE;
+	uint64_t best_rank = 0;
+
+	CAROB_UPSTREAMS_OF (i, table, query->service) {
+		uint64_t rank = rank_of(&table->items[i], query->flow_hash);
+
+		if (!is_candidate(table, query, i) ||
+		    load_of(&table->items[i]) > most)
+			continue;
+		if (best == CAROB_UPSTREAM_NONE || rank > best_rank) {
+			best = i;
+			best_rank = rank;
+		}
+	}
+	return best;
+}
+
+static carob_upstream_index_t
+choose_hashed(const carob_upstream_table_t *table,
+	      const carob_placement_query_t *query)
+{
+	return ranked_first(table, query, 1e9);
+}
+
+static carob_upstream_index_t
+choose_bounded(const carob_upstream_table_t *table,
+	       const carob_placement_query_t *query)
+{
+	carob_upstream_index_t best = ranked_first(
+		table, query, BOUND_OF_MEAN * mean_load(table, query));
+
+	return best == CAROB_UPSTREAM_NONE ? choose_hashed(table, query) : best;
+}
+
+/* The less loaded of the two that the hash ranks first (Mitzenmacher, "The
+ * Power of Two Choices in Randomized Load Balancing", 2001). */
+static carob_upstream_index_t
+choose_of_two(const carob_upstream_table_t *table,
+	      const carob_placement_query_t *query)
+{
+	carob_placement_query_t others = *query;
+	carob_upstream_index_t first = choose_hashed(table, query);
+	carob_upstream_index_t second;
+
+	others.flow_hash = carob_hash_u64(query->flow_hash);
+	second = choose_hashed(table, &others);
+	if (second == CAROB_UPSTREAM_NONE)
+		return first;
+	return load_of(&table->items[second]) < load_of(&table->items[first])
+		       ? second
+		       : first;
+}
+
+/* The flows' hashes are evenly spread numbers: drawn, not taken in turn. */
+static carob_upstream_index_t choose_drawn(const carob_upstream_table_t *table,
+					   const carob_placement_query_t *query)
+{
+	uint64_t draw = query->flow_hash;
+	carob_upstream_index_t index;
+
+	do {
+		draw = carob_hash_u64(draw);
+		index = (carob_upstream_index_t)(draw % table->count);
+	} while (!is_candidate(table, query, index));
+	return index;
+}
+
+const placing_way_t placing_ways[PLACING_WAYS] = {
+	{"least load and refusing", true, carob_placement_choose},
+	{"least load", false, carob_placement_choose},
+	{"better of two", false, choose_of_two},
+	{"bounded hashing", false, choose_bounded},
+	{"hashing", false, choose_hashed},
+	{"random", false, choose_drawn},
+};
