platform: bodies in CBOR, as deploy/wire.toml asks

Cause of the slow return at 300 machines: after all processes were killed each of 297 instances lists 3,000 upstreams, 0.87 MB in JSON, and the store's link carries 1,000 Mbit/s: 2.27 s from start to the last page. The store's stand-in speaks CBOR too.

--- a/fuzzers/store_items_fuzzer.c
+++ b/fuzzers/store_items_fuzzer.c
@@ -1,4 +1,5 @@
 #include "carobtrail/log.h"
+#include "emulator/common/cbor_json.h"
 #include "platform/items.h"
 
 #include <sodium.h>
@@ -47,12 +48,16 @@
 	sodium_bin2base64(value, sizeof(value), data, size,
 			  sodium_base64_VARIANT_ORIGINAL);
 	for (size_t i = 0; i < CAROB_ARRAY_SIZE(keys); i++) {
+		CAROB_CLEANUP(carob_buf_dispose)
+		carob_buf_t bytes = CAROB_BUF_INIT;
 		int len = snprintf(body, sizeof(body),
 				   "{\"events\":[{\"key\":\"%s\",\"value\":"
 				   "\"%s\",\"revision\":3}],\"current_rev\":4}",
 				   keys[i], value);
 
-		decode((carob_str_t){body, (size_t)len});
+		if (cbor_json_encode_text(
+			    &bytes, (carob_str_t){body, (size_t)len}) == 0)
+			decode(carob_buf_view(&bytes));
 	}
 	return 0;
 }
--- a/src/emulator/store/items.c
+++ b/src/emulator/store/items.c
@@ -1,6 +1,7 @@
 #include "items.h"
 
 #include "carobtrail/errors.h"
+#include "emulator/common/cbor_json.h"
 
 #include <inttypes.h>
 #include <sodium.h>
@@ -16,15 +17,21 @@
 	items->revision = 1;
 }
 
+/* Values are given in JSON, and kept in CBOR as base64 text. */
 static char *encode(carob_str_t value)
 {
-	size_t len = sodium_base64_encoded_len(value.len,
-					       sodium_base64_VARIANT_ORIGINAL);
-	char *text = malloc(len);
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t bytes = CAROB_BUF_INIT;
+	char *text;
+	size_t len;
 
+	if (cbor_json_encode_text(&bytes, value) != 0)
+		return NULL;
+	len = sodium_base64_encoded_len(bytes.len,
+					sodium_base64_VARIANT_ORIGINAL);
+	text = malloc(len);
 	if (text)
-		sodium_bin2base64(text, len, (const uint8_t *)value.ptr,
-				  value.len, sodium_base64_VARIANT_ORIGINAL);
+		sodium_bin2base64(text, len, (const uint8_t *)bytes.ptr,
+				  bytes.len, sodium_base64_VARIANT_ORIGINAL);
 	return text;
 }
 
--- a/src/emulator/store/main.c
+++ b/src/emulator/store/main.c
@@ -1,6 +1,7 @@
 /* carob-store: a stand-in for the store of the prepared platform. It serves
  * listings and watches over HTTP; commands write items and cause faults. */
 #include "carobtrail/errors.h"
+#include "emulator/common/cbor_json.h"
 #include "emulator/common/command.h"
 #include "items.h"
 #include "net/program.h"
@@ -77,8 +78,10 @@
 	waiting_free(arg);
 }
 
-static void end_waiting(waiting_t *call, int status, const carob_buf_t *body)
+/* Bodies are written in JSON and sent in CBOR. */
+static void end_waiting(waiting_t *call, int status, const carob_buf_t *json)
 {
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t body = CAROB_BUF_INIT;
 	struct evhttp_request *request = call->request;
 	struct evhttp_connection *connection =
 		evhttp_request_get_connection(request);
@@ -86,7 +89,9 @@
 	if (connection)
 		evhttp_connection_set_closecb(connection, NULL, NULL);
 	waiting_free(call);
-	reply(request, status, body);
+	if (json)
+		(void)cbor_json_encode_text(&body, carob_buf_view(json));
+	reply(request, status, &body);
 }
 
 static void answer_watch(waiting_t *call)
--- a/tests/platform/items_test.c
+++ b/tests/platform/items_test.c
@@ -1,6 +1,7 @@
 #include "platform/items.h"
 
 #include "carobtrail/errors.h"
+#include "emulator/common/cbor_json.h"
 #include "test_runner.h"
 
 #include <sodium.h>
@@ -8,14 +9,25 @@
 
 #define BODY_BYTES 8192
 
-/* Appends {"key":KEY,"value":base64(JSON),"revision":REVISION}. */
+/* Bodies are written in JSON here, and decoded from their CBOR. */
+static int decode_json(platform_items_t **out, carob_str_t json)
+{
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t body = CAROB_BUF_INIT;
+
+	CU_ASSERT_EQUAL(cbor_json_encode_text(&body, json), 0);
+	return platform_items_decode(out, carob_buf_view(&body));
+}
+
+/* Appends an item whose value is the CBOR of `json` as base64 text. */
 static void append_item(carob_buf_t *body, const char *key, const char *json,
 			int revision)
 {
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t bytes = CAROB_BUF_INIT;
 	char value[BODY_BYTES];
 
-	sodium_bin2base64(value, sizeof(value), (const uint8_t *)json,
-			  strlen(json), sodium_base64_VARIANT_ORIGINAL);
+	CU_ASSERT_EQUAL(cbor_json_encode_text(&bytes, carob_str_from(json)), 0);
+	sodium_bin2base64(value, sizeof(value), (const uint8_t *)bytes.ptr,
+			  bytes.len, sodium_base64_VARIANT_ORIGINAL);
 	CU_ASSERT_EQUAL(carob_buf_printf(body,
 					 "%s{\"key\":\"%s\",\"value\":\"%s\","
 					 "\"revision\":%d}",
@@ -34,7 +46,7 @@
 					   carob_buf_t *body)
 {
 	CU_ASSERT_EQUAL(carob_buf_printf(body, "],\"current_rev\":99}"), 0);
-	if (platform_items_decode(out, carob_buf_view(body)) != 0)
+	if (decode_json(out, carob_buf_view(body)) != 0)
 		return NULL;
 	return platform_items_reply(*out);
 }
@@ -165,8 +177,7 @@
 		"\"tombstone\":true}],\"current_rev\":13}";
 	platform_items_t *items = NULL;
 
-	CU_ASSERT_EQUAL_FATAL(platform_items_decode(&items, CAROB_STR(body)),
-			      0);
+	CU_ASSERT_EQUAL_FATAL(decode_json(&items, CAROB_STR(body)), 0);
 	CU_ASSERT_EQUAL(platform_items_reply(items)->changes[0].kind,
 			CAROB_CATALOG_UPSTREAM_REMOVED);
 	CU_ASSERT_TRUE(carob_str_eq(
@@ -229,13 +240,43 @@
 	for (size_t i = 0; i < CAROB_ARRAY_SIZE(bodies); i++) {
 		platform_items_t *items = NULL;
 
-		CU_ASSERT_EQUAL(platform_items_decode(
-					&items, carob_str_from(bodies[i])),
+		CU_ASSERT_EQUAL(decode_json(&items, carob_str_from(bodies[i])),
 				CAROB_EFORMAT);
 		CU_ASSERT_PTR_NULL(items);
 	}
 }
 
+/* A body of CBOR as it is, with what JSON can't say. */
+static void test_cbor_that_is_unreadable(void)
+{
+	static const struct {
+		const char *what;
+		carob_str_t bytes;
+	} cases[] = {
+		{"cut short", CAROB_STR("\xa2\x65items\x80")},
+		{"longer than the map", CAROB_STR("\xa1\x65items\x80\x00")},
+		{"a byte string", CAROB_STR("\xa1\x65items\x41\x00")},
+		{"a tag", CAROB_STR("\xa1\x65items\xc1\x01")},
+		{"a key that is a number", CAROB_STR("\xa1\x01\x80")},
+		{"65 bits", CAROB_STR("\xa1\x61"
+				      "a\x1b\xff\xff\xff\xff\xff\xff\xff\xff")},
+		{"too deep",
+		 CAROB_STR("\xa1\x61"
+			   "a\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81"
+			   "\x81\x81\x81\x81\x81\x81\x81\x80")},
+		{"JSON", CAROB_STR("{\"items\":[],\"current_rev\":1}")},
+	};
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(cases); i++) {
+		platform_items_t *items = NULL;
+
+		if (platform_items_decode(&items, cases[i].bytes) !=
+		    CAROB_EFORMAT)
+			CU_FAIL(cases[i].what);
+		CU_ASSERT_PTR_NULL(items);
+	}
+}
+
 int main(void)
 {
 	static const test_case_t cases[] = {
@@ -246,6 +287,7 @@
 		{"two configurations in one answer",
 		 test_two_configurations_in_one_answer},
 		{"answers that are none", test_answers_that_are_none},
+		{"CBOR that is unreadable", test_cbor_that_is_unreadable},
 	};
 
 	return run_tests("platform items", cases, CAROB_ARRAY_SIZE(cases));
