--- a/tests/platform/items_test.c
+++ b/tests/platform/items_test.c
@@ -264,6 +264,14 @@
 		 CAROB_STR("\xa1\x61"
 			   "a\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81"
 			   "\x81\x81\x81\x81\x81\x81\x81\x80")},
+		{"a map that claims 168 million pairs",
+		 CAROB_STR("\xba\x0a\x0a\x2a\x00\x00\x0a\x28")},
+		{"an array that claims 2^60 elements",
+		 CAROB_STR("\xa1\x65items\x9b\x10\x00\x00\x00\x00\x00\x00\x00"
+			   "\x01")},
+		{"a float as a key", CAROB_STR("\xa1\xfa\x00\x00\x00\x00\x80")},
+		{"an array without an end",
+		 CAROB_STR("\xa1\x65items\x9f\x01\xff")},
 		{"JSON", CAROB_STR("{\"items\":[],\"current_rev\":1}")},
 	};
 
