flowd: bounds that are fractions and long zone names do not keep it from starting

Cause: the platform gives its bounds as whole numbers or fractions; a grace time of 6.5 s, or a zone's name of more than 31 bytes, was refused, and the process ended. An upstream entry that could not be applied (an id of more than 63 bytes) was passed over without a line; it has one now. The tests of settings failed first.

--- a/src/flow/catalog.c
+++ b/src/flow/catalog.c
@@ -200,6 +200,16 @@
 		  CAROB_FIELD_U64("revision", change->revision));
 }
 
+/* A configuration that was refused has a line of its own. */
+static void log_not_applied(const carob_catalog_change_t *change)
+{
+	if (change->kind == CAROB_CATALOG_UPSTREAM)
+		CAROB_LOG(CAROB_EV_ITEM_UNUSABLE,
+			  CAROB_FIELD_STR("upstream", change->upstream_id),
+			  CAROB_FIELD_U64("revision", change->revision),
+			  CAROB_FIELD_CSTR("error", carob_error_last()));
+}
+
 static void apply(carob_catalog_t *catalog,
 		  const carob_catalog_change_t *change)
 {
@@ -237,6 +247,8 @@
 	}
 	if (error == 0)
 		catalog->counters.changes++;
+	else if (error != CAROB_ESTALE)
+		log_not_applied(change);
 }
 
 static bool can_place(const carob_catalog_t *catalog)
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -169,7 +169,7 @@
 	carob_addr_format(store, &settings->store);
 	CAROB_LOG(CAROB_EV_SETTINGS_IN_FORCE,
 		  CAROB_FIELD_STR("instance", settings->instance),
-		  CAROB_FIELD_CSTR("zone", settings->zone.name),
+		  CAROB_FIELD_STR("zone", settings->zone),
 		  CAROB_FIELD_CSTR("store", store),
 		  CAROB_FIELD_U64("first_start", settings->first_start),
 		  CAROB_FIELD_U64("contact_ms", settings->contact_ms),
@@ -177,7 +177,7 @@
 		  CAROB_FIELD_U64("stop_grace_ms", settings->stop_grace_ms));
 }
 
-/* Addresses and the zone stay as they were at the start: what moves them
+/* Sockets and the home zone stay as they were at the start: what moves them
  * starts the process again. */
 static int on_reload(carob_program_t *program, const carob_json_node_t *root)
 {
@@ -187,7 +187,8 @@
 
 	if (error)
 		return error;
-	self->settings.instance = settings.instance;
+	self->settings.instance = settings.instance; /* of the new document */
+	self->settings.zone = settings.zone;
 	self->settings.stop_grace_ms = settings.stop_grace_ms;
 	log_settings(&settings);
 	carob_catalog_set_spans(self->catalog, settings.contact_ms,
@@ -202,7 +203,7 @@
 	options.clock = carob_kernel_clock(self->program.kernel);
 	options.routes = &self->routes;
 	options.upstreams = &self->upstreams;
-	options.home_zone = carob_str_from(self->settings.zone.name);
+	options.home_zone = self->settings.zone;
 	return carob_steering_new(&self->steering, &options);
 }
 
--- a/src/flowd/settings.c
+++ b/src/flowd/settings.c
@@ -2,13 +2,15 @@
 
 #include <string.h>
 
-#define INSTANCE_MAX 63
+/* Bytes of a name: of an instance, of a zone. */
+#define NAME_MAX_BYTES 255
 /* Bounds of the platform's smallest deployments. */
 #define CONTACT_MS_DEFAULT   4000
 #define APPLY_MS_DEFAULT     3000
 #define STOP_GRACE_S_DEFAULT 6
 #define SPAN_MS_MIN	     100
 #define SPAN_MS_MAX	     3600000
+#define STOP_GRACE_S_MIN     1
 #define STOP_GRACE_S_MAX     3600
 #define MS_PER_S	     1000
 
@@ -20,15 +22,12 @@
 
 static int read_identity(flowd_settings_t *out, const carob_json_node_t *root)
 {
-	carob_json_node_t node;
-	int error;
+	int error = carob_json_get_str(&out->instance, root, "instance", 1,
+				       NAME_MAX_BYTES);
 
-	error = carob_json_get_str(&out->instance, root, "instance", 1,
-				   INSTANCE_MAX);
-	if (!error)
-		error = carob_json_get(&node, root, "zone");
 	if (!error)
-		error = carob_json_zone(&out->zone, &node);
+		error = carob_json_get_str(&out->zone, root, "zone", 1,
+					   NAME_MAX_BYTES);
 	return error;
 }
 
@@ -47,12 +46,13 @@
 	return error;
 }
 
+/* The platform may give its bounds as fractions. */
 static int read_span(uint32_t *out, const carob_json_node_t *root,
-		     const char *key, uint64_t fallback)
+		     const char *key, double fallback)
 {
-	uint64_t value;
-	int error = carob_json_get_u64_or(&value, root, key, SPAN_MS_MIN,
-					  SPAN_MS_MAX, fallback);
+	double value;
+	int error = carob_json_get_real_or(&value, root, key, SPAN_MS_MIN,
+					   SPAN_MS_MAX, fallback);
 
 	*out = (uint32_t)value;
 	return error;
@@ -60,7 +60,7 @@
 
 static int read_spans(flowd_settings_t *out, const carob_json_node_t *root)
 {
-	uint64_t grace_s = STOP_GRACE_S_DEFAULT;
+	double grace_s = STOP_GRACE_S_DEFAULT;
 	int error;
 
 	error = read_span(&out->contact_ms, root, "contact_ms",
@@ -69,10 +69,11 @@
 		error = read_span(&out->apply_ms, root, "apply_ms",
 				  APPLY_MS_DEFAULT);
 	if (!error)
-		error = carob_json_get_u64_or(&grace_s, root, "stop_grace_s", 1,
-					      STOP_GRACE_S_MAX,
-					      STOP_GRACE_S_DEFAULT);
-	out->stop_grace_ms = (uint32_t)grace_s * MS_PER_S;
+		error = carob_json_get_real_or(&grace_s, root, "stop_grace_s",
+					       STOP_GRACE_S_MIN,
+					       STOP_GRACE_S_MAX,
+					       STOP_GRACE_S_DEFAULT);
+	out->stop_grace_ms = (uint32_t)(grace_s * MS_PER_S);
 	return error;
 }
 
--- a/src/flowd/settings.h
+++ b/src/flowd/settings.h
@@ -11,7 +11,7 @@
 /** All settings of one instance; strings borrow from the document. */
 typedef struct flowd_settings {
 	carob_str_t instance;
-	carob_zone_t zone;
+	carob_str_t zone;
 	carob_addr_t packets;	/* UDP: packets of callers */
 	carob_addr_t readiness; /* HTTP: whether packets are welcome */
 	carob_addr_t metrics;	/* HTTP; family 0: none */
--- a/src/util/json_doc.c
+++ b/src/util/json_doc.c
@@ -451,6 +451,24 @@
 	return carob_json_u64(out, &node, min, max);
 }
 
+int carob_json_get_real_or(double *out, const carob_json_node_t *object,
+			   const char *key, double min, double max,
+			   double fallback)
+{
+	carob_json_node_t node;
+	double value;
+
+	*out = fallback;
+	if (!carob_json_find(&node, object, key))
+		return 0;
+	value = json_number_value(node.value);
+	if (!json_is_number(node.value) || value < min || value > max)
+		return carob_json_expected(&node, "a number from %g to %g", min,
+					   max);
+	*out = value;
+	return 0;
+}
+
 int carob_json_get_bool_or(bool *out, const carob_json_node_t *object,
 			   const char *key, bool fallback)
 {
--- a/src/util/json_doc.h
+++ b/src/util/json_doc.h
@@ -155,6 +155,11 @@
 			  const char *key, uint64_t min, uint64_t max,
 			  uint64_t fallback);
 
+/** Reads a number, also a fraction, or `fallback` if there is no such key. */
+int carob_json_get_real_or(double *out, const carob_json_node_t *object,
+			   const char *key, double min, double max,
+			   double fallback);
+
 /** Reads true or false, or `fallback` if there is no such key. */
 int carob_json_get_bool_or(bool *out, const carob_json_node_t *object,
 			   const char *key, bool fallback);
--- a/tests/flowd/settings_test.c
+++ b/tests/flowd/settings_test.c
@@ -19,6 +19,15 @@
 	{"{" GOOD ",\"metrics\":\"10.1.0.10:9464\",\"contact_ms\":5000,"
 	 "\"apply_ms\":5000,\"stop_grace_s\":6,\"first_start\":true}",
 	 0, NULL},
+	{"{" GOOD ",\"contact_ms\":4500.5,\"apply_ms\":3000.25,"
+	 "\"stop_grace_s\":6.5}",
+	 0, NULL},
+	{"{\"instance\":\"flowd-1\",\"zone\":"
+	 "\"a zone with a name of more than 31 bytes\","
+	 "\"packets\":\"10.1.0.10:8172\",\"readiness\":\"10.1.0.10:8167\","
+	 "\"store\":\"10.200.1.7:8169\"}",
+	 0, NULL},
+	{"{" GOOD ",\"stop_grace_s\":1e300}", CAROB_EINVALID, "stop_grace_s"},
 	{"{}", CAROB_EINVALID, "instance"},
 	{"[]", CAROB_EINVALID, "expected"},
 	{"{" GOOD ",\"colour\":1}", CAROB_EINVALID, "colour"},
@@ -53,6 +62,26 @@
 	}
 }
 
+/* The platform may give its bounds as fractions. */
+static void test_fractions(void)
+{
+	static const char text[] = "{" GOOD ",\"contact_ms\":4500.5,"
+				   "\"stop_grace_s\":6.5}";
+	carob_json_doc_t *doc = NULL;
+	flowd_settings_t settings;
+	carob_json_node_t root;
+
+	CU_ASSERT_EQUAL_FATAL(
+		carob_json_doc_parse(&doc, "settings", CAROB_STR(text),
+				     CAROB_JSON_SETTINGS_BYTES_MAX),
+		0);
+	root = carob_json_doc_root(doc);
+	CU_ASSERT_EQUAL(flowd_settings_read(&settings, &root), 0);
+	CU_ASSERT_EQUAL(settings.contact_ms, 4500);
+	CU_ASSERT_EQUAL(settings.stop_grace_ms, 6500);
+	carob_json_doc_free(doc);
+}
+
 static void test_defaults(void)
 {
 	static const char text[] = "{" GOOD "}";
@@ -79,6 +108,7 @@
 {
 	static const test_case_t tests[] = {
 		{"settings", test_settings},
+		{"fractions", test_fractions},
 		{"defaults", test_defaults},
 	};
 
