carobctl: explain a flow of carob-flowd by its addresses and echo field

GET /explain of the metrics address says which upstream gets the flow's packets, the decision as the log names it, the version of the configuration, and the revision and age of what it rests on; it changes nothing. carobctl asks it. Two copies of the conversion between addresses and endpoints became one (endpoint.h).

--- a/include/carobtrail/flow_packet.h
+++ b/include/carobtrail/flow_packet.h
@@ -6,13 +6,7 @@
 #ifndef CAROBTRAIL_FLOW_PACKET_H
 #define CAROBTRAIL_FLOW_PACKET_H
 
-#include "carobtrail/common.h"
-
-/** An IPv4 address and port, both in host order. */
-typedef struct carob_endpoint {
-	uint32_t ip;
-	uint16_t port;
-} carob_endpoint_t;
+#include "carobtrail/endpoint.h"
 
 /** A packet from a caller towards an upstream. */
 typedef struct carob_flow_packet {
@@ -30,10 +24,4 @@
 	bool rst;
 } carob_flow_packet_t;
 
-/** @return whether both are the same address and port */
-static inline bool carob_endpoint_eq(carob_endpoint_t a, carob_endpoint_t b)
-{
-	return a.ip == b.ip && a.port == b.port;
-}
-
 #endif
--- a/include/carobtrail/steering.h
+++ b/include/carobtrail/steering.h
@@ -100,6 +100,24 @@
 			   carob_steering_t *steering,
 			   const carob_flow_packet_t *packet);
 
+/** Where a packet would go now; for people. */
+typedef struct carob_steer_explanation {
+	carob_steer_verdict_t verdict;
+	carob_steer_reason_t reason;
+	const carob_upstream_t *upstream; /* or NULL; borrowed */
+	bool remembered;		  /* this instance has seen the flow */
+	uint32_t idle_ms;		  /* of a remembered flow */
+	uint64_t config_version;	  /* that routes were looked up in */
+} carob_steer_explanation_t;
+
+/**
+ * Says where a packet would go, and changes nothing. Without a steering tag a
+ * flow that is not remembered counts as new; admission is not asked.
+ */
+void carob_steering_explain(carob_steer_explanation_t *out,
+			    const carob_steering_t *steering,
+			    const carob_flow_packet_t *packet);
+
 /** Who sends resets that no packet asked for; implementations embed it. */
 typedef struct carob_reset_sender carob_reset_sender_t;
 struct carob_reset_sender {
--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -1,5 +1,6 @@
 #include "ask.h"
 #include "cli.h"
+#include "http_get.h"
 
 #include "carobtrail/errors.h"
 #include "net/control.h"
@@ -16,6 +17,10 @@
 	char *secret_file;
 	char *service;
 	char *token;
+	char *metrics;
+	char *caller;
+	char *route;
+	long tag;
 } explain_t;
 
 static int ask(carob_buf_t *json, const explain_t *explain)
@@ -39,6 +44,35 @@
 				   ANSWER_TIMEOUT_MS);
 }
 
+/* Of carob-flowd: a flow by its addresses and steering tag. */
+static int ask_flow(carob_buf_t *json, const explain_t *explain)
+{
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t path = CAROB_BUF_INIT;
+	carob_addr_t addr;
+	carob_addr_t caller;
+	carob_addr_t route;
+	int status = 0;
+	int result = cli_addr(&addr, "--metrics", explain->metrics);
+
+	if (result == 0)
+		result = cli_addr(&caller, "--caller", explain->caller);
+	if (result == 0)
+		result = cli_addr(&route, "--route", explain->route);
+	if (result == 0)
+		result = carob_buf_printf(&path,
+					  "/explain?caller=%s&route=%s&tag=%ld",
+					  explain->caller, explain->route,
+					  explain->tag);
+	if (result == 0)
+		result = cli_http_get(json, &status, &addr, path.ptr);
+	if (result == 0 && status != 200)
+		result = carob_error_set(CAROB_EINVALID,
+					 "%s: HTTP status %d: %.*s",
+					 explain->metrics, status,
+					 (int)json->len, json->ptr);
+	return result;
+}
+
 static int print(const cli_t *cli, const carob_buf_t *json)
 {
 	json_t *root = json_loadb(json->ptr, json->len, 0, NULL);
@@ -69,15 +103,28 @@
 		{"token", 't', POPT_ARG_STRING, &explain.token, 0,
 		 "explain where the flow with this token goes",
 		 "80 HEX DIGITS"},
+		{"metrics", 'm', POPT_ARG_STRING, &explain.metrics, 0,
+		 "metrics address of the carob-flowd to ask", "ADDRESS:PORT"},
+		{"caller", 'c', POPT_ARG_STRING, &explain.caller, 0,
+		 "explain where a flow of this caller goes", "ADDRESS:PORT"},
+		{"route", 'r', POPT_ARG_STRING, &explain.route, 0,
+		 "what the caller connects to", "ADDRESS:PORT"},
+		{"tag", 'T', POPT_ARG_LONG, &explain.tag, 0,
+		 "echo field of the flow's packets; none: a new flow",
+		 "NUMBER"},
 		POPT_AUTOHELP POPT_TABLEEND};
 	poptContext context = NULL;
 	int result = cli_parse(&context, argc, argv, options, "[OPTION...]");
 
 	if (result != 0)
 		return result;
-	if (poptPeekArg(context) || !explain.service == !explain.token)
-		result = carob_error_set(CAROB_EUSAGE,
-					 "expected --service or --token");
+	if (poptPeekArg(context) ||
+	    !explain.service + !explain.token + !explain.caller != 2)
+		result = carob_error_set(
+			CAROB_EUSAGE,
+			"expected --service, --token or --caller");
+	else if (explain.caller)
+		result = ask_flow(&json, &explain);
 	else
 		result = ask(&json, &explain);
 	if (result == 0)
@@ -87,5 +134,8 @@
 	free(explain.secret_file);
 	free(explain.service);
 	free(explain.token);
+	free(explain.metrics);
+	free(explain.caller);
+	free(explain.route);
 	return result;
 }
--- a/src/flowd/front.c
+++ b/src/flowd/front.c
@@ -4,10 +4,8 @@
 #include "carobtrail/log.h"
 #include "platform/packet.h"
 
-#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 /* A caller waits this long for an answer to its SYNs. */
 #define SYN_AGE_MS_MAX 1400
@@ -29,15 +27,6 @@
 	flowd_front_counters_t counters;
 };
 
-static carob_addr_t addr_of(uint32_t ip, uint16_t port)
-{
-	carob_addr_t addr = {.family = 4, .port = port};
-	uint32_t network = htonl(ip);
-
-	memcpy(addr.ip, &network, sizeof(network));
-	return addr;
-}
-
 static bool may_log(flowd_front_t *front)
 {
 	uint64_t second = carob_clock_now_ns(front->clock) / CAROB_NS_PER_S;
@@ -55,7 +44,7 @@
 static void format_endpoint(char out[CAROB_ADDR_TEXT_MAX],
 			    carob_endpoint_t endpoint)
 {
-	carob_addr_t addr = addr_of(endpoint.ip, endpoint.port);
+	carob_addr_t addr = carob_endpoint_addr(endpoint);
 
 	carob_addr_format(out, &addr);
 }
@@ -99,8 +88,7 @@
 			     const carob_upstream_t *upstream)
 {
 	uint8_t datagram[PLATFORM_PACKET_BYTES_MAX];
-	carob_addr_t to =
-		addr_of(upstream->endpoint.ip, upstream->endpoint.port);
+	carob_addr_t to = carob_endpoint_addr(upstream->endpoint);
 	size_t len = platform_packet_encode(datagram, data, upstream->number,
 					    upstream->tag);
 
@@ -111,7 +99,8 @@
 		       uint32_t seq)
 {
 	uint8_t datagram[PLATFORM_PACKET_HEADER_BYTES];
-	carob_addr_t to = addr_of(packet->caller.ip, front->reset_port);
+	carob_endpoint_t end = {packet->caller.ip, front->reset_port};
+	carob_addr_t to = carob_endpoint_addr(end);
 
 	if (packet->rst)
 		return; /* never answer a reset with a reset */
--- a/src/flowd/http.c
+++ b/src/flowd/http.c
@@ -9,20 +9,35 @@
 
 struct flowd_http {
 	struct evhttp *server;
-	flowd_http_handler_t *handler;
 };
 
+static const char *reason_of(int status)
+{
+	if (status == HTTP_OK)
+		return "OK";
+	return status == HTTP_BADREQUEST ? "Bad Request"
+					 : "Service Unavailable";
+}
+
 static void on_request(struct evhttp_request *request, void *arg)
 {
 	flowd_http_handler_t *handler = arg;
 	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t text = CAROB_BUF_INIT;
 	struct evbuffer *body = evhttp_request_get_output_buffer(request);
-	int status = handler->answer(handler, &text);
+	const char *query =
+		evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request));
+	int status = handler->answer(handler, &text, query ? query : "");
 
 	(void)evbuffer_add(body, text.ptr ? text.ptr : "", text.len);
-	evhttp_send_reply(request, status,
-			  status == HTTP_OK ? "OK" : "Service Unavailable",
-			  NULL);
+	evhttp_send_reply(request, status, reason_of(status), NULL);
+}
+
+int flowd_http_add(flowd_http_t *http, flowd_http_handler_t *handler)
+{
+	if (evhttp_set_cb(http->server, handler->path, on_request, handler))
+		return carob_error_set(CAROB_ENOMEM, "HTTP path %s",
+				       handler->path);
+	return 0;
 }
 
 int flowd_http_new(flowd_http_t **out, struct event_base *base,
@@ -33,11 +48,9 @@
 
 	if (!http)
 		return carob_error_set(CAROB_ENOMEM, "HTTP server");
-	http->handler = handler;
 	http->server = evhttp_new(base);
 	(void)inet_ntop(AF_INET, local->ip, ip, sizeof(ip));
-	if (!http->server ||
-	    evhttp_set_cb(http->server, handler->path, on_request, handler) ||
+	if (!http->server || flowd_http_add(http, handler) != 0 ||
 	    evhttp_bind_socket(http->server, ip, local->port) != 0) {
 		flowd_http_free(http);
 		return carob_error_set(CAROB_EIO, "listen on %s:%u", ip,
--- a/src/flowd/http.h
+++ b/src/flowd/http.h
@@ -1,6 +1,6 @@
 /**
  * @file http.h
- * What an instance serves over HTTP: its readiness and its metrics.
+ * What an instance serves over HTTP: readiness, metrics, explanations.
  */
 #ifndef CAROB_FLOWD_HTTP_H
 #define CAROB_FLOWD_HTTP_H
@@ -12,12 +12,20 @@
 
 typedef struct flowd_http flowd_http_t;
 
-/** What is asked for; its user embeds it and sets all members. */
+/** One path; its user embeds it and sets all members. */
 typedef struct flowd_http_handler flowd_http_handler_t;
 struct flowd_http_handler {
 	const char *path;
-	/** Answers; `body` receives text. @return the HTTP status */
-	int (*answer)(flowd_http_handler_t *handler, carob_buf_t *body);
+	/**
+	 * Answers.
+	 *
+	 * @param handler itself
+	 * @param body receives text
+	 * @param query what stands behind the path's '?', not decoded, or ""
+	 * @return the HTTP status
+	 */
+	int (*answer)(flowd_http_handler_t *handler, carob_buf_t *body,
+		      const char *query);
 };
 
 /**
@@ -32,6 +40,9 @@
 int flowd_http_new(flowd_http_t **out, struct event_base *base,
 		   const carob_addr_t *local, flowd_http_handler_t *handler);
 
+/** Serves another path too. @return 0 or CAROB_ENOMEM */
+int flowd_http_add(flowd_http_t *http, flowd_http_handler_t *handler);
+
 /** Closes the socket and all connections. */
 void flowd_http_free(flowd_http_t *http);
 
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -3,6 +3,7 @@
 #include "carobtrail/errors.h"
 #include "carobtrail/log.h"
 #include "carobtrail/rng.h"
+#include "explain.h"
 #include "front.h"
 #include "http.h"
 #include "metrics.h"
@@ -42,6 +43,7 @@
 	flowd_http_t *metrics;
 	flowd_http_handler_t readiness_handler;
 	flowd_http_handler_t metrics_handler;
+	flowd_http_handler_t explain_handler;
 	carob_timer_t tick;
 	uint64_t ticks;
 	uint64_t suspended_ns; /* total time in suspension, by the clocks */
@@ -67,12 +69,14 @@
 	return read_clock(CLOCK_BOOTTIME) - read_clock(CLOCK_MONOTONIC);
 }
 
-static int answer_readiness(flowd_http_handler_t *handler, carob_buf_t *body)
+static int answer_readiness(flowd_http_handler_t *handler, carob_buf_t *body,
+			    const char *query)
 {
 	flowd_t *self = CAROB_CONTAINER_OF(handler, flowd_t, readiness_handler);
 	bool ready = !self->leaving && carob_catalog_complete(self->catalog);
 
 	(void)body;
+	(void)query;
 	if (ready != self->ready)
 		CAROB_LOG(CAROB_EV_READINESS, CAROB_FIELD_U64("ready", ready),
 			  CAROB_FIELD_U64("leaving", self->leaving),
@@ -82,7 +86,8 @@
 	return ready ? 200 : 503;
 }
 
-static int answer_metrics(flowd_http_handler_t *handler, carob_buf_t *body)
+static int answer_metrics(flowd_http_handler_t *handler, carob_buf_t *body,
+			  const char *query)
 {
 	flowd_t *self = CAROB_CONTAINER_OF(handler, flowd_t, metrics_handler);
 	flowd_metrics_source_t source = {
@@ -94,9 +99,23 @@
 		.hub = self->program.hub,
 	};
 
+	(void)query;
 	return flowd_metrics_write(body, &source) == 0 ? 200 : 503;
 }
 
+static int answer_explain(flowd_http_handler_t *handler, carob_buf_t *body,
+			  const char *query)
+{
+	flowd_t *self = CAROB_CONTAINER_OF(handler, flowd_t, explain_handler);
+	flowd_explain_source_t source = {
+		.steering = self->steering,
+		.catalog = self->catalog,
+		.upstreams = &self->upstreams,
+	};
+
+	return flowd_explain_write(body, &source, query) == 0 ? 200 : 400;
+}
+
 /* After a pause all beliefs are old. */
 static void notice_pause(flowd_t *self, uint64_t now_ns)
 {
@@ -249,6 +268,10 @@
 		error = flowd_http_new(&self->metrics, base,
 				       &self->settings.metrics,
 				       &self->metrics_handler);
+	self->explain_handler.path = "/explain";
+	self->explain_handler.answer = answer_explain;
+	if (!error && self->metrics)
+		error = flowd_http_add(self->metrics, &self->explain_handler);
 	return error;
 }
 
--- a/tests/flow/steering_test.c
+++ b/tests/flow/steering_test.c
@@ -201,6 +201,39 @@
 	bed_dispose(&bed);
 }
 
+static void expect_explained(const bed_t *bed, uint16_t port, uint32_t tag,
+			     carob_steer_reason_t reason, const char *id)
+{
+	carob_flow_packet_t packet = fixture_data(port, tag, 0, 0, 0);
+	carob_steer_explanation_t explanation;
+
+	carob_steering_explain(&explanation, bed->steering, &packet);
+	CU_ASSERT_EQUAL(explanation.reason, reason);
+	CU_ASSERT_STRING_EQUAL(
+		explanation.upstream ? explanation.upstream->id : "", id);
+	CU_ASSERT_EQUAL(explanation.config_version, bed->config_version);
+}
+
+/* An explanation says what a packet would meet, and leaves no trace. */
+static void test_explanations(void)
+{
+	const carob_steering_counters_t *counters;
+	bed_t bed;
+
+	bed_init(&bed);
+	expect_explained(&bed, PORT, 0, CAROB_STEER_PLACED, "i-1");
+	expect_explained(&bed, PORT, 2, CAROB_STEER_BY_TAG, "i-2");
+	expect_explained(&bed, PORT, 77, CAROB_STEER_UNKNOWN_TAG, "");
+	counters = carob_steering_counters(bed.steering);
+	for (int i = 0; i < CAROB_STEER_REASON_COUNT; i++)
+		CU_ASSERT_EQUAL(counters->reasons[i], 0);
+	CU_ASSERT_EQUAL(carob_steering_flow_count(bed.steering), 0);
+	expect(&bed, fixture_data(PORT, 2, 0, 10, 5000), CAROB_STEER_BY_TAG,
+	       "i-2");
+	expect_explained(&bed, PORT, 0, CAROB_STEER_KNOWN_FLOW, "i-2");
+	bed_dispose(&bed);
+}
+
 static void test_a_port_that_is_used_again(void)
 {
 	carob_flow_packet_t syn = fixture_syn(PORT, 0);
@@ -469,6 +502,7 @@
 		{"a copy when the first upstream drains",
 		 test_a_copy_when_the_first_upstream_drains},
 		{"flows of other instances", test_flows_of_other_instances},
+		{"explanations", test_explanations},
 		{"a port that is used again", test_a_port_that_is_used_again},
 		{"routes come and go", test_routes_come_and_go},
 		{"nobody to serve", test_nobody_to_serve},
