--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -122,7 +122,8 @@
 	    !explain.service + !explain.token + !explain.caller != 2)
 		result = carob_error_set(
 			CAROB_EUSAGE,
-			"expected --service, --token or --caller");
+			"expected --service or --token, or --caller "
+			"with --route");
 	else if (explain.caller)
 		result = ask_flow(&json, &explain);
 	else
