--- /dev/null
+++ b/src/flow/steering_flow.c
@@ -0,0 +1,203 @@
+/* What an instance keeps about a flow, and what its packets tell. */
+#include "flow/steering_priv.h"
+
+#include "carobtrail/silence.h"
+
+/* Of a hundred answers, one takes longer than the usual time. */
+#define USUAL_QUANTILE 0.99
+
+static bool counts_as_open(const carob_flow_t *flow)
+{
+	return flow->upstream != CAROB_UPSTREAM_NONE &&
+	       (flow->phase == CAROB_FLOW_OPENING ||
+		flow->phase == CAROB_FLOW_OPEN);
+}
+
+void carob_steering_set_pending(carob_steering_t *steering, carob_flow_t *flow,
+				bool pending)
+{
+	carob_upstream_t *upstream =
+		&steering->upstreams->items[flow->upstream];
+
+	if (flow->pending == pending)
+		return;
+	flow->pending = pending;
+	if (pending)
+		upstream->pending++;
+	else
+		upstream->pending--;
+}
+
+/* Takes a flow's load off its upstream. */
+void carob_steering_unbind(carob_steering_t *steering, carob_flow_t *flow)
+{
+	if (!counts_as_open(flow))
+		return;
+	carob_steering_set_pending(steering, flow, false);
+	steering->upstreams->items[flow->upstream].open_flows--;
+}
+
+void carob_steering_bind(carob_steering_t *steering, carob_flow_t *flow,
+			 carob_upstream_index_t upstream)
+{
+	bool pending = flow->pending;
+
+	if (flow->upstream == upstream)
+		return;
+	carob_steering_unbind(steering, flow);
+	flow->upstream = upstream;
+	steering->upstreams->items[upstream].open_flows++;
+	carob_steering_set_pending(steering, flow, pending);
+}
+
+void carob_steering_forget(carob_steering_t *steering, carob_flow_t *flow)
+{
+	carob_steering_unbind(steering, flow);
+	carob_flow_table_remove(&steering->flows, flow);
+}
+
+/* Adds a flow whose upstream is known. @return NULL if there is no room */
+carob_flow_t *carob_steering_remember(carob_steering_t *steering,
+				      const carob_flow_packet_t *packet,
+				      carob_flow_phase_t phase,
+				      carob_upstream_index_t upstream)
+{
+	carob_flow_t *flow;
+
+	if (carob_flow_table_add(&flow, &steering->flows, packet) != 0) {
+		steering->counters.not_remembered++;
+		return NULL;
+	}
+	flow->phase = (uint8_t)phase;
+	flow->first_seq = packet->seq;
+	flow->last_seq = packet->seq;
+	flow->last_ack = packet->ack;
+	flow->since_ms = carob_steering_now_ms(steering);
+	flow->used_ms = flow->since_ms;
+	carob_steering_bind(steering, flow, upstream);
+	return flow;
+}
+
+bool carob_steering_is_silent(const carob_steering_t *steering,
+			      carob_upstream_index_t upstream)
+{
+	uint64_t usual_ms;
+
+	if (steering->upstreams->items[upstream].failures == 0)
+		return false;
+	usual_ms = carob_histogram_quantile(&steering->counters.answer_ms,
+					    USUAL_QUANTILE);
+	return carob_silence_is_silent(steering->upstreams, upstream,
+				       usual_ms * CAROB_NS_PER_MS,
+				       carob_steering_now_ns(steering));
+}
+
+void carob_steering_note_silent(carob_steering_t *steering,
+				carob_upstream_index_t upstream)
+{
+	if (carob_steering_is_silent(steering, upstream))
+		steering->silent = upstream;
+}
+
+/* The tag in the first packet after the SYN names the upstream that has
+ * answered, whichever one was tried last. */
+void carob_steering_open(carob_steering_t *steering, carob_flow_t *flow,
+			 const carob_flow_packet_t *packet)
+{
+	carob_upstream_index_t to = carob_upstream_table_by_tag(
+		steering->upstreams, packet->steering_tag);
+	uint32_t now = carob_steering_now_ms(steering);
+
+	if (packet->rst)
+		return;
+	if (packet->steering_tag != 0 && to != CAROB_UPSTREAM_NONE)
+		carob_steering_bind(steering, flow, to);
+	flow->phase = CAROB_FLOW_OPEN;
+	flow->last_ack = packet->ack;
+	carob_steering_set_pending(steering, flow, false);
+	carob_histogram_record(&steering->counters.connect_ms,
+			       now - flow->since_ms);
+	carob_silence_note_answer(steering->upstreams, flow->upstream,
+				  carob_steering_now_ns(steering));
+}
+
+static void note_answer(carob_steering_t *steering, const carob_flow_t *flow,
+			uint32_t ms)
+{
+	carob_endpoint_t endpoint = {flow->route_ip, flow->route_port};
+	const carob_route_t *route = NULL;
+
+	carob_histogram_record(&steering->counters.answer_ms, ms);
+	(void)carob_route_table_find(&route, steering->routes, endpoint);
+	if (route && route->target_ms > 0)
+		carob_admission_note_answer(
+			&steering->admission,
+			steering->upstreams->items[flow->upstream].service,
+			ms <= route->target_ms,
+			carob_steering_now_ns(steering));
+}
+
+static void track_answer(carob_steering_t *steering, carob_flow_t *flow,
+			 const carob_flow_packet_t *packet)
+{
+	bool advanced = (int32_t)(packet->ack - flow->last_ack) > 0;
+
+	if (!packet->has_ack || !advanced)
+		return;
+	flow->last_ack = packet->ack;
+	if (!flow->pending)
+		return;
+	carob_steering_set_pending(steering, flow, false);
+	note_answer(steering, flow,
+		    carob_steering_now_ms(steering) - flow->since_ms);
+	carob_silence_note_answer(steering->upstreams, flow->upstream,
+				  carob_steering_now_ns(steering));
+}
+
+static void note_repeated_request(carob_steering_t *steering,
+				  carob_flow_t *flow)
+{
+	steering->counters.repeated_data++;
+	if (flow->repeated || !flow->pending)
+		return;
+	flow->repeated = true;
+	carob_silence_note_request(steering->upstreams, flow->upstream,
+				   carob_steering_now_ns(steering));
+	carob_steering_note_silent(steering, flow->upstream);
+}
+
+static void track_request(carob_steering_t *steering, carob_flow_t *flow,
+			  const carob_flow_packet_t *packet)
+{
+	bool is_new = (int32_t)(packet->seq - flow->last_seq) > 0;
+
+	if (packet->data_bytes == 0)
+		return;
+	if (!is_new) {
+		note_repeated_request(steering, flow);
+		return;
+	}
+	flow->last_seq = packet->seq;
+	if (!flow->pending)
+		flow->since_ms = carob_steering_now_ms(steering);
+	flow->repeated = false;
+	carob_steering_set_pending(steering, flow, true);
+}
+
+void carob_steering_track(carob_steering_t *steering, carob_flow_t *flow,
+			  const carob_flow_packet_t *packet)
+{
+	flow->used_ms = carob_steering_now_ms(steering);
+	if (packet->rst) {
+		carob_steering_forget(steering, flow);
+		return;
+	}
+	if (flow->phase != CAROB_FLOW_OPEN)
+		return;
+	track_answer(steering, flow, packet);
+	track_request(steering, flow, packet);
+	if (packet->fin) {
+		carob_steering_unbind(steering, flow);
+		flow->phase = CAROB_FLOW_CLOSING;
+	}
+}
--- /dev/null
+++ b/src/flow/steering_sweep.c
@@ -0,0 +1,99 @@
+/* What is done to many flows at a time. */
+#include "flow/steering_priv.h"
+
+#include "carobtrail/log.h"
+
+/* A caller gives up a SYN after 1.4 s. */
+#define OPENING_MS_MAX 2000
+/* The last acknowledgements after a FIN, repeated at most 1.6 s apart. */
+#define CLOSING_MS_MAX 4000
+/* A request that takes longer no longer counts as load. */
+#define PENDING_MS_MAX 10000
+/* Idle flows that the configuration says nothing about. */
+#define IDLE_MS_DEFAULT 60000
+/* Calls of the sweep until it has seen the whole table. */
+#define SWEEP_PARTS 8
+
+typedef struct silent_flows {
+	carob_flow_visitor_t visitor;
+	carob_steering_t *steering;
+	carob_reset_sender_t *sender;
+	uint64_t count;
+} silent_flows_t;
+
+static bool reset_waiting(carob_flow_visitor_t *visitor, carob_flow_t *flow)
+{
+	silent_flows_t *silent = (silent_flows_t *)visitor;
+	carob_steering_t *steering = silent->steering;
+	carob_flow_packet_t packet = {
+		.caller = {flow->caller_ip, flow->caller_port},
+		.route = {flow->route_ip, flow->route_port},
+	};
+	const carob_route_t *route = NULL;
+
+	if (flow->upstream != steering->silent || !flow->pending ||
+	    flow->phase != CAROB_FLOW_OPEN)
+		return false;
+	(void)carob_route_table_find(&route, steering->routes, packet.route);
+	if (!route || !route->idempotent)
+		return false;
+	silent->sender->send(silent->sender, &packet, flow->last_ack);
+	silent->count++;
+	carob_steering_unbind(steering, flow);
+	return true;
+}
+
+void carob_steering_reset_silent(carob_steering_t *steering,
+				 carob_reset_sender_t *sender)
+{
+	silent_flows_t silent = {.visitor.visit = reset_waiting,
+				 .steering = steering,
+				 .sender = sender};
+
+	if (steering->silent == CAROB_UPSTREAM_NONE)
+		return;
+	carob_flow_table_sweep(&steering->flows, steering->flows.cap,
+			       &silent.visitor);
+	steering->counters.reasons[CAROB_STEER_UPSTREAM_SILENT] += silent.count;
+	if (silent.count > 0)
+		CAROB_LOG(
+			CAROB_EV_UPSTREAM_SILENCE,
+			CAROB_FIELD_CSTR(
+				"upstream",
+				steering->upstreams->items[steering->silent].id),
+			CAROB_FIELD_U64("flows_reset", silent.count));
+	steering->silent = CAROB_UPSTREAM_NONE;
+}
+
+static uint32_t idle_limit_ms(const carob_steering_t *steering,
+			      const carob_flow_t *flow)
+{
+	uint32_t configured = steering->routes->config.idle_timeout_ms;
+
+	if (flow->phase == CAROB_FLOW_OPENING)
+		return OPENING_MS_MAX;
+	if (flow->phase == CAROB_FLOW_CLOSING)
+		return CLOSING_MS_MAX;
+	return configured ? configured : IDLE_MS_DEFAULT;
+}
+
+bool carob_steering_is_expired(carob_flow_visitor_t *visitor,
+			       carob_flow_t *flow)
+{
+	carob_steering_t *steering = (carob_steering_t *)visitor;
+	uint32_t now = carob_steering_now_ms(steering);
+
+	if (flow->pending && now - flow->since_ms > PENDING_MS_MAX)
+		carob_steering_set_pending(steering, flow, false);
+	if (now - flow->used_ms <= idle_limit_ms(steering, flow))
+		return false;
+	carob_steering_unbind(steering, flow);
+	return true;
+}
+
+void carob_steering_sweep(carob_steering_t *steering)
+{
+	size_t places = steering->flows.cap / SWEEP_PARTS;
+
+	carob_flow_table_sweep(&steering->flows, places, &steering->expiry);
+}
