flow: one request that stalls shows that an upstream has fallen silent

An instance sends each of 147 upstreams a SYN every 8 s, so the two signs that silence asks for (SYNs and requests) rarely meet. A request that its caller repeats for the third time, 1.4 s after it, while the upstream has answered nothing else since and others answer, now is enough: flows that wait there and may be repeated are reset, the next requests at once, and new flows go elsewhere, until it answers again. Ruled out as false signs, each a row of the test: an upstream that answers another flow, all upstreams silent (this instance's own trouble), copies that waited in one queue, fewer repetitions, requests that may run once. Both tests failed first.

--- a/include/carobtrail/silence.h
+++ b/include/carobtrail/silence.h
@@ -10,6 +10,11 @@
  * waits, or one and two requests, make an upstream silent, provided that no
  * answer came for longer than usual and that others answer: otherwise the
  * trouble is this instance's own.
+ *
+ * An instance may send an upstream a SYN every few seconds only. A request
+ * whose caller still repeats it after more than a second, while the upstream
+ * has answered nothing else, therefore is a sign that needs no second one: a
+ * queue that is so long would have been refused by the upstream.
  */
 #ifndef CAROBTRAIL_SILENCE_H
 #define CAROBTRAIL_SILENCE_H
@@ -28,10 +33,28 @@
 void carob_silence_note_request(carob_upstream_table_t *table,
 				carob_upstream_index_t index, uint64_t now_ns);
 
+/**
+ * Notes that a caller still repeats a request.
+ *
+ * @param table the upstreams
+ * @param index whose answer is missing
+ * @param since_ns when the request was first sent there
+ * @param now_ns monotonic time
+ */
+void carob_silence_note_stall(carob_upstream_table_t *table,
+			      carob_upstream_index_t index, uint64_t since_ns,
+			      uint64_t now_ns);
+
 /** @return whether new flows had better go elsewhere */
 bool carob_silence_is_avoided(const carob_upstream_t *upstream,
 			      uint64_t now_ns);
 
+/** @return whether there is any sign of silence since its last answer */
+static inline bool carob_silence_is_suspected(const carob_upstream_t *upstream)
+{
+	return upstream->failures > 0 || upstream->stalled;
+}
+
 /**
  * @param table the upstreams
  * @param index the one that is asked for
--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -63,7 +63,8 @@
 	uint64_t answered_ns; /* when a caller last acknowledged something */
 	uint32_t failures;    /* SYNs without an answer since then */
 	uint32_t waiting;     /* requests that were repeated since then */
-	uint64_t failed_ns;   /* when the last of both was seen */
+	bool stalled;	      /* a caller repeats one for too long */
+	uint64_t failed_ns;   /* when the last of these was seen */
 	uint64_t avoid_until_ns;
 } carob_upstream_t;
 
--- a/src/flow/silence.c
+++ b/src/flow/silence.c
@@ -16,6 +16,12 @@
 /* What shows the silence is not older: far less than the 4 s for which
  * disruption of an upstream excuses a reset of its flows. */
 #define FRESH_NS (1500 * CAROB_NS_PER_MS)
+/* Callers repeat a request 0.2, 0.6, 1.4 and 3 s after it: the third time. An
+ * upstream's queue is shorter than this, or it refuses. */
+#define STALL_NS (1200 * CAROB_NS_PER_MS)
+/* Flows keep their times in whole milliseconds. A request may come in the
+ * packet that acknowledges the handshake. */
+#define ROUNDING_NS (2 * CAROB_NS_PER_MS)
 /* Others count as answering if one did within this. */
 #define OTHERS_NS (200 * CAROB_NS_PER_MS)
 
@@ -24,17 +30,28 @@
 {
 	carob_upstream_t *upstream = &table->items[index];
 
-	if (upstream->failures >= SYNS_TO_AVOID)
+	if (upstream->failures >= SYNS_TO_AVOID || upstream->stalled)
 		CAROB_LOG(CAROB_EV_UPSTREAM_ANSWERS,
 			  CAROB_FIELD_CSTR("upstream", upstream->id),
 			  CAROB_FIELD_U64("failures", upstream->failures));
 	upstream->failures = 0;
 	upstream->waiting = 0;
+	upstream->stalled = false;
 	upstream->avoid_until_ns = 0;
 	upstream->answered_ns = now_ns;
 	table->answered_ns = now_ns;
 }
 
+static void log_avoided(const carob_upstream_t *upstream)
+{
+	CAROB_LOG(CAROB_EV_UPSTREAM_AVOIDED,
+		  CAROB_FIELD_CSTR("upstream", upstream->id),
+		  CAROB_FIELD_U64("failures", upstream->failures),
+		  CAROB_FIELD_U64("waiting", upstream->waiting),
+		  CAROB_FIELD_U64("stalled", upstream->stalled),
+		  CAROB_FIELD_U64("pending", upstream->pending));
+}
+
 void carob_silence_note_syn(carob_upstream_table_t *table,
 			    carob_upstream_index_t index, uint64_t now_ns)
 {
@@ -50,11 +67,7 @@
 		avoid_ns = AVOID_NS_MAX;
 	upstream->avoid_until_ns = now_ns + avoid_ns;
 	if (upstream->failures == SYNS_TO_AVOID)
-		CAROB_LOG(CAROB_EV_UPSTREAM_AVOIDED,
-			  CAROB_FIELD_CSTR("upstream", upstream->id),
-			  CAROB_FIELD_U64("failures", upstream->failures),
-			  CAROB_FIELD_U64("waiting", upstream->waiting),
-			  CAROB_FIELD_U64("pending", upstream->pending));
+		log_avoided(upstream);
 }
 
 void carob_silence_note_request(carob_upstream_table_t *table,
@@ -64,10 +77,27 @@
 	table->items[index].failed_ns = now_ns;
 }
 
+void carob_silence_note_stall(carob_upstream_table_t *table,
+			      carob_upstream_index_t index, uint64_t since_ns,
+			      uint64_t now_ns)
+{
+	carob_upstream_t *upstream = &table->items[index];
+
+	if (now_ns - since_ns < STALL_NS ||
+	    upstream->answered_ns > since_ns + ROUNDING_NS)
+		return;
+	upstream->failed_ns = now_ns;
+	upstream->avoid_until_ns = now_ns + AVOID_NS_MAX;
+	if (upstream->stalled)
+		return;
+	upstream->stalled = true;
+	log_avoided(upstream);
+}
+
 /* After the pause, one flow at a time shows whether it is back. */
 bool carob_silence_is_avoided(const carob_upstream_t *upstream, uint64_t now_ns)
 {
-	if (upstream->failures < SYNS_TO_AVOID)
+	if (upstream->failures < SYNS_TO_AVOID && !upstream->stalled)
 		return false;
 	return now_ns < upstream->avoid_until_ns || upstream->pending > 0;
 }
@@ -75,6 +105,8 @@
 /* Together, so many signs make an upstream silent. */
 static bool has_signs(const carob_upstream_t *upstream)
 {
+	if (upstream->stalled)
+		return true;
 	return upstream->failures > 0 && upstream->waiting > 0 &&
 	       upstream->failures + upstream->waiting >= SIGNS_OF_SILENCE;
 }
--- a/src/flow/steering_flow.c
+++ b/src/flow/steering_flow.c
@@ -83,7 +83,7 @@
 {
 	uint64_t usual_ms;
 
-	if (steering->upstreams->items[upstream].failures == 0)
+	if (!carob_silence_is_suspected(&steering->upstreams->items[upstream]))
 		return false;
 	usual_ms = carob_histogram_quantile(&steering->counters.answer_ms,
 					    USUAL_QUANTILE);
@@ -157,12 +157,18 @@
 static void note_repeated_request(carob_steering_t *steering,
 				  carob_flow_t *flow)
 {
+	uint64_t now = carob_steering_now_ns(steering);
+	uint32_t waited_ms = carob_steering_now_ms(steering) - flow->since_ms;
+
 	steering->counters.repeated_data++;
-	if (flow->repeated || !flow->pending)
+	if (!flow->pending)
 		return;
+	if (!flow->repeated)
+		carob_silence_note_request(steering->upstreams, flow->upstream,
+					   now);
 	flow->repeated = true;
-	carob_silence_note_request(steering->upstreams, flow->upstream,
-				   carob_steering_now_ns(steering));
+	carob_silence_note_stall(steering->upstreams, flow->upstream,
+				 now - waited_ms * CAROB_NS_PER_MS, now);
 	carob_steering_note_silent(steering, flow->upstream);
 }
 
--- a/src/flow/upstream_table.c
+++ b/src/flow/upstream_table.c
@@ -218,6 +218,7 @@
 {
 	upstream->failures = 0;
 	upstream->waiting = 0;
+	upstream->stalled = false;
 	upstream->avoid_until_ns = 0;
 }
 
--- a/tests/flow/steering_test.c
+++ b/tests/flow/steering_test.c
@@ -234,6 +234,93 @@
 	bed_dispose(&bed);
 }
 
+/* What happens around a request whose caller repeats it for 1.4 s. */
+static const struct {
+	const char *what;
+	carob_endpoint_t route;
+	bool others_answer;	 /* other upstreams, all the while */
+	bool answers_another;	 /* the upstream itself, once, in between */
+	uint32_t repeated_ms[3]; /* when copies come */
+	uint32_t resets;
+} stalls[] = {
+	{"nobody answers there", SAFE_ROUTE, true, false, {200, 600, 1400}, 1},
+	{"it may run once", UNSAFE_ROUTE, true, false, {200, 600, 1400}, 0},
+	{"others are silent too", SAFE_ROUTE, false, false, {200, 600, 1400}, 0},
+	{"it answers another", SAFE_ROUTE, true, true, {200, 600, 1400}, 0},
+	{"copies from one queue", SAFE_ROUTE, true, false, {1, 2, 3}, 0},
+	{"not long enough", SAFE_ROUTE, true, false, {200, 600, 700}, 0},
+};
+
+/* A request of `port` on an upstream, and the caller's acknowledgement of the
+ * answer. */
+static void exchange(bed_t *bed, uint16_t port, uint32_t tag, uint32_t number)
+{
+	uint32_t ack = 6000 + 100 * number;
+
+	(void)steer(bed, fixture_data(port, tag, 10 * number, 10, ack));
+	(void)steer(bed,
+		    fixture_data(port, tag, 10 * number + 10, 0, ack + 99));
+}
+
+static void play_stall(bed_t *bed, size_t i)
+{
+	carob_flow_packet_t request = fixture_data(PORT, 1, 10, 10, 5000);
+	carob_flow_packet_t syn = fixture_syn(PORT, 0);
+	size_t copies = 0;
+
+	syn.route = stalls[i].route;
+	request.route = stalls[i].route;
+	(void)steer(bed, syn);
+	(void)steer(bed, request);
+	for (uint32_t ms = 1; ms <= 1500; ms++) {
+		pass(bed, 1);
+		if (stalls[i].others_answer && ms % 50 == 0)
+			exchange(bed, PORT + 1, 2, ms / 50);
+		if (stalls[i].answers_another && ms == 500)
+			exchange(bed, PORT + 2, 1, 1);
+		if (copies < 3 && ms == stalls[i].repeated_ms[copies]) {
+			(void)steer(bed, request);
+			copies++;
+		}
+	}
+}
+
+/* One open flow is enough to see that an upstream is gone, if its caller
+ * repeats for long enough: it is then told so, and may ask elsewhere. */
+static void test_a_request_that_stalls(void)
+{
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(stalls); i++) {
+		bed_t bed;
+
+		bed_init(&bed);
+		play_stall(&bed, i);
+		CU_ASSERT_EQUAL(bed.resets, stalls[i].resets);
+		if (bed.resets != stalls[i].resets)
+			printf("\n%s: %u resets", stalls[i].what, bed.resets);
+		bed_dispose(&bed);
+	}
+}
+
+/* Until it answers again, the next request there is turned away at once, and
+ * new flows go elsewhere. */
+static void test_after_a_stall(void)
+{
+	bed_t bed;
+
+	bed_init(&bed);
+	play_stall(&bed, 0);
+	exchange(&bed, PORT + 1, 2, 40);
+	expect(&bed, fixture_data(PORT + 3, 1, 0, 10, 5000), CAROB_STEER_BY_TAG,
+	       "i-1");
+	expect(&bed, fixture_data(PORT + 3, 1, 10, 10, 5000),
+	       CAROB_STEER_UPSTREAM_SILENT, "i-1");
+	expect(&bed, fixture_syn(PORT + 4, 0), CAROB_STEER_PLACED, "i-2");
+	exchange(&bed, PORT + 5, 1, 1);
+	expect(&bed, fixture_data(PORT + 5, 1, 40, 10, 7000),
+	       CAROB_STEER_KNOWN_FLOW, "i-1");
+	bed_dispose(&bed);
+}
+
 static void test_a_port_that_is_used_again(void)
 {
 	carob_flow_packet_t syn = fixture_syn(PORT, 0);
@@ -503,6 +590,8 @@
 		 test_a_copy_when_the_first_upstream_drains},
 		{"flows of other instances", test_flows_of_other_instances},
 		{"explanations", test_explanations},
+		{"a request that stalls", test_a_request_that_stalls},
+		{"after a stall", test_after_a_stall},
 		{"a port that is used again", test_a_port_that_is_used_again},
 		{"routes come and go", test_routes_come_and_go},
 		{"nobody to serve", test_nobody_to_serve},
