--- a/include/carobtrail/log.h
+++ b/include/carobtrail/log.h
@@ -83,7 +83,7 @@
 	X(CAROB_EV_UPSTREAM_STATE, 5001, INFO,                                 \
 	  "what is believed of an upstream changed")                           \
 	X(CAROB_EV_UPSTREAM_AVOIDED, 5002, WARN,                               \
-	  "an upstream leaves SYNs unanswered: others go first")               \
+	  "an upstream leaves SYNs or a request unanswered: others go first")  \
 	X(CAROB_EV_UPSTREAM_ANSWERS, 5003, INFO,                               \
 	  "an upstream that was passed over answers again")                    \
 	X(CAROB_EV_UPSTREAM_SILENCE, 5004, WARN,                               \
