flow: a caller that has given up counts as load for 2 s, not for 10

A caller that waits repeats its request at least each 1.6 s. Ruled out: the limit itself, which grew again as it should. The test failed first.

--- a/src/flow/steering_sweep.c
+++ b/src/flow/steering_sweep.c
@@ -7,12 +7,13 @@
 #define OPENING_MS_MAX 2000
 /* The last acknowledgements after a FIN, repeated at most 1.6 s apart. */
 #define CLOSING_MS_MAX 4000
-/* A request that takes longer no longer counts as load. */
-#define PENDING_MS_MAX 10000
+/* A caller that waits repeats its request at least each 1.6 s. After a longer
+ * silence it has given up, or has its answer, and is no load. */
+#define WAITING_MS_MAX 2000
 /* Idle flows that the configuration says nothing about. */
 #define IDLE_MS_DEFAULT 60000
 /* Calls of the sweep until it has seen the whole table. */
-#define SWEEP_PARTS 8
+#define SWEEP_PARTS 4
 
 typedef struct silent_flows {
 	carob_flow_visitor_t visitor;
@@ -83,7 +84,7 @@
 	carob_steering_t *steering = (carob_steering_t *)visitor;
 	uint32_t now = carob_steering_now_ms(steering);
 
-	if (flow->pending && now - flow->since_ms > PENDING_MS_MAX)
+	if (flow->pending && now - flow->used_ms > WAITING_MS_MAX)
 		carob_steering_set_pending(steering, flow, false);
 	if (now - flow->used_ms <= idle_limit_ms(steering, flow))
 		return false;
--- a/tests/flow/steering_test.c
+++ b/tests/flow/steering_test.c
@@ -321,6 +321,27 @@
 	bed_dispose(&bed);
 }
 
+/* A caller that waits repeats its request at least each 1.6 s. One that has
+ * given up says nothing, and must not count as load for long. */
+static void test_a_caller_that_gives_up(void)
+{
+	bed_t bed;
+
+	bed_init(&bed);
+	(void)steer(&bed, fixture_data(PORT, 1, 0, 10, 5000));
+	(void)steer(&bed, fixture_data(PORT + 1, 1, 0, 10, 5000));
+	CU_ASSERT_EQUAL(bed.upstreams.items[0].pending, 2);
+	for (int ms = 0; ms < 4000; ms += 500) {
+		if (ms % 1500 == 0)
+			(void)steer(&bed, fixture_data(PORT, 1, 0, 10, 5000));
+		pass(&bed, 500);
+		carob_steering_sweep(bed.steering);
+	}
+	CU_ASSERT_EQUAL(bed.upstreams.items[0].pending, 1);
+	CU_ASSERT_EQUAL(carob_steering_flow_count(bed.steering), 2);
+	bed_dispose(&bed);
+}
+
 static void test_a_port_that_is_used_again(void)
 {
 	carob_flow_packet_t syn = fixture_syn(PORT, 0);
@@ -592,6 +613,7 @@
 		{"explanations", test_explanations},
 		{"a request that stalls", test_a_request_that_stalls},
 		{"after a stall", test_after_a_stall},
+		{"a caller that gives up", test_a_caller_that_gives_up},
 		{"a port that is used again", test_a_port_that_is_used_again},
 		{"routes come and go", test_routes_come_and_go},
 		{"nobody to serve", test_nobody_to_serve},
