--- a/src/cli/http_get.c
+++ b/src/cli/http_get.c
@@ -56,10 +56,15 @@
 int cli_http_get(carob_buf_t *body, int *status, const carob_addr_t *addr,
 		 const char *path)
 {
-	get_t get = {.base = event_base_new(), .body = body};
+	get_t get = {.body = body};
 	char ip[INET_ADDRSTRLEN] = "";
 	int error;
 
+	if (addr->family != 4)
+		return carob_error_set(CAROB_EUSAGE,
+				       "port %u: expected an IPv4 address",
+				       addr->port);
+	get.base = event_base_new();
 	if (!get.base)
 		return carob_error_set(CAROB_ENOMEM, "event loop");
 	(void)inet_ntop(AF_INET, addr->ip, ip, sizeof(ip));
--- a/src/cli/http_get.h
+++ b/src/cli/http_get.h
@@ -15,7 +15,8 @@
  * @param status receives its status
  * @param addr IPv4 address and port
  * @param path with the query
- * @return 0, CAROB_EUNAVAILABLE (no answer in time) or CAROB_ENOMEM
+ * @return 0, CAROB_EUSAGE (not IPv4), CAROB_EUNAVAILABLE (no answer in time)
+ *         or CAROB_ENOMEM
  */
 int cli_http_get(carob_buf_t *body, int *status, const carob_addr_t *addr,
 		 const char *path);
--- a/src/flow/steering_flow.c
+++ b/src/flow/steering_flow.c
@@ -28,7 +28,6 @@
 		upstream->pending--;
 }
 
-/* Takes a flow's load off its upstream. */
 void carob_steering_unbind(carob_steering_t *steering, carob_flow_t *flow)
 {
 	if (!counts_as_open(flow))
@@ -56,7 +55,6 @@
 	carob_flow_table_remove(&steering->flows, flow);
 }
 
-/* Adds a flow whose upstream is known. @return NULL if there is no room */
 carob_flow_t *carob_steering_remember(carob_steering_t *steering,
 				      const carob_flow_packet_t *packet,
 				      carob_flow_phase_t phase,
