--- /dev/null
+++ b/tests/emulator/flow_wire_test.c
@@ -0,0 +1,127 @@
+#include "emulator/flows/wire.h"
+
+#include "carobtrail/errors.h"
+#include "platform/packet.h"
+#include "test_runner.h"
+
+#include <string.h>
+
+/* The example of the platform's pages. */
+static const uint8_t example[WIRE_HEADER_BYTES] = {
+	0x00, 0x00, 0x11, 0x22, 0x33, 0x44, 0x00, 0x00, 0x00, 0x00, 0x20, 0x00,
+	0x00, 0x00, 0x64, 0x40, 0x00, 0x07, 0xc6, 0x12, 0x00, 0x01, 0x9c, 0x41,
+	0x01, 0xbb, 0x00, 0x00, 0x00, 0x00, 0xa1, 0xb2, 0xc3, 0xd5};
+
+static void test_the_example(void)
+{
+	wire_packet_t packet;
+
+	CU_ASSERT_EQUAL_FATAL(wire_decode(&packet,
+					  (carob_str_t){(const char *)example,
+							sizeof(example)}),
+			      0);
+	CU_ASSERT_EQUAL(packet.from.ip, 0x64400007);
+	CU_ASSERT_EQUAL(packet.from.port, 40001);
+	CU_ASSERT_EQUAL(packet.to.ip, 0xc6120001);
+	CU_ASSERT_EQUAL(packet.to.port, 443);
+	CU_ASSERT_EQUAL(packet.seq, 0x11223344);
+	CU_ASSERT_EQUAL(packet.flags, WIRE_SYN);
+	CU_ASSERT_EQUAL(packet.sum, 0xa1b2c3d5);
+	CU_ASSERT_EQUAL(packet.data.len, 0);
+}
+
+/* What an end writes, the balancer reads the same. */
+static void test_against_the_balancers_codec(void)
+{
+	static const struct {
+		uint8_t flags;
+		const char *data;
+		uint32_t echo;
+	} cases[] = {
+		{WIRE_SYN, "", 0},
+		{WIRE_ACK, "GET /slots", 0x7f3a91c2},
+		{WIRE_ACK | WIRE_FIN, "", 1},
+		{WIRE_RST, "", 0xffffffff},
+	};
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(cases); i++) {
+		uint8_t bytes[WIRE_BYTES_MAX];
+		carob_flow_packet_t seen;
+		wire_packet_t packet = {
+			.from = {0x64400007, 40001},
+			.to = {0xc6120001, 443},
+			.seq = 77,
+			.ack = 2,
+			.flags = cases[i].flags,
+			.echo = cases[i].echo,
+			.data = carob_str_from(cases[i].data),
+		};
+		size_t len = wire_encode(bytes, &packet);
+
+		CU_ASSERT_EQUAL_FATAL(
+			platform_packet_decode(
+				&seen, (carob_str_t){(char *)bytes, len}),
+			0);
+		CU_ASSERT_TRUE(carob_endpoint_eq(seen.caller, packet.from));
+		CU_ASSERT_TRUE(carob_endpoint_eq(seen.route, packet.to));
+		CU_ASSERT_EQUAL(seen.seq, 77);
+		/* in a SYN, the field counts its copies */
+		CU_ASSERT_EQUAL(seen.syn ? seen.syn_copy : seen.ack, 2);
+		CU_ASSERT_EQUAL(seen.steering_tag, cases[i].echo);
+		CU_ASSERT_EQUAL(seen.data_bytes, strlen(cases[i].data));
+		CU_ASSERT_EQUAL(seen.syn, (cases[i].flags & WIRE_SYN) != 0);
+		CU_ASSERT_EQUAL(seen.fin, (cases[i].flags & WIRE_FIN) != 0);
+		CU_ASSERT_EQUAL(seen.rst, (cases[i].flags & WIRE_RST) != 0);
+	}
+}
+
+/* Any byte that is changed on the way shows, but for those of the echo field
+ * and of the padding, which the sum leaves out. */
+static void test_the_sum(void)
+{
+	uint8_t bytes[WIRE_BYTES_MAX];
+	wire_packet_t packet = {.from = {0x64400007, 40001},
+				.to = {0xc6120001, 443},
+				.flags = WIRE_ACK,
+				.data = CAROB_STR("GET /slots")};
+	size_t len = wire_encode(bytes, &packet);
+
+	for (size_t at = 2; at < len; at++) {
+		bool left_out = (at >= 11 && at < 14) || (at >= 26 && at < 30);
+		wire_packet_t seen;
+
+		bytes[at] ^= 1;
+		CU_ASSERT_EQUAL(wire_decode(&seen,
+					    (carob_str_t){(char *)bytes, len}),
+				0);
+		CU_ASSERT_EQUAL(wire_is_genuine(&seen), left_out);
+		bytes[at] ^= 1;
+	}
+}
+
+static void test_lengths_that_do_not_fit(void)
+{
+	uint8_t bytes[WIRE_BYTES_MAX];
+	wire_packet_t packet = {.data = CAROB_STR("0123456789")};
+	size_t len = wire_encode(bytes, &packet);
+	const size_t lengths[] = {0, WIRE_HEADER_BYTES - 1, len - 1, len + 1};
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(lengths); i++)
+		CU_ASSERT_EQUAL(
+			wire_decode(&packet,
+				    (carob_str_t){(char *)bytes, lengths[i]}),
+			CAROB_EFORMAT);
+}
+
+int main(void)
+{
+	static const test_case_t cases[] = {
+		{"the example of the pages", test_the_example},
+		{"against the balancer's codec",
+		 test_against_the_balancers_codec},
+		{"the sum", test_the_sum},
+		{"lengths that do not fit", test_lengths_that_do_not_fit},
+	};
+
+	return run_tests("flow wire", cases, CAROB_ARRAY_SIZE(cases));
+}
