platform: a long answer is read while it comes; what is too long is listed instead

An answer of more than 4 MB would not have been read at any speed. Ruled out: the store (it answered others), the pause between tries. The time-out is one of silence now, and begins again with each part of an answer. Changes that are longer than 4 MB count as history that is gone: the whole list is read, which event 2014 says.

--- a/include/carobtrail/catalog.h
+++ b/include/carobtrail/catalog.h
@@ -64,6 +64,8 @@
 	 * CAROB_ENOMEM
 	 */
 	int result;
+	/** On failure: the answer had begun, but is too long to be read. */
+	bool partial;
 	uint64_t revision;    /* that the next watch goes on from */
 	bool truncated;	      /* another page follows */
 	carob_str_t last_key; /* where the next page goes on */
@@ -89,7 +91,7 @@
 		     uint32_t timeout_ms);
 	/**
 	 * Reads what changed after a revision, waiting for `wait_ms` if nothing
-	 * has; `timeout_ms` bounds the whole read.
+	 * has; `timeout_ms` bounds how long it may be silent.
 	 */
 	void (*watch)(carob_catalog_source_t *source,
 		      carob_catalog_reader_t *reader, uint64_t after,
--- a/include/carobtrail/log.h
+++ b/include/carobtrail/log.h
@@ -45,6 +45,8 @@
 	X(CAROB_EV_CONFIG_REFUSED, 2011, ERROR, "configuration refused")       \
 	X(CAROB_EV_CATALOG_LISTED, 2012, INFO,                                 \
 	  "all upstreams and the configuration were read")                     \
+	X(CAROB_EV_CHANGES_LOST, 2014, WARN,                                   \
+	  "changes can't be read, so everything is read again")                \
 	X(CAROB_EV_ITEM_UNUSABLE, 2013, WARN,                                  \
 	  "an item of the platform cannot be read and is not used")            \
 	X(CAROB_EV_MEMBER_JOINED, 3001, INFO, "an instance joined")            \
--- a/src/emulator/store/main.c
+++ b/src/emulator/store/main.c
@@ -234,11 +234,15 @@
 {
 	carob_str_t key;
 	carob_str_t value;
+	uint64_t times = 1;
 	int error = carob_json_get_str(&key, root, "key", 1, KEY_MAX);
 
 	if (!error)
 		error = carob_json_get_str(&value, root, "value", 0, VALUE_MAX);
 	if (!error)
+		error = carob_json_get_u64_or(&times, root, "times", 1,
+					      STORE_HISTORY_MAX, 1);
+	for (uint64_t i = 0; !error && i < times; i++)
 		error = store_items_write(&store->items, key, value);
 	if (!error)
 		wake_watches(store);
--- a/src/flow/catalog.c
+++ b/src/flow/catalog.c
@@ -356,6 +356,23 @@
 	read_in(catalog, pause_ms);
 }
 
+/* Changes whose history is gone, or is too long to be read: the whole list is
+ * shorter. */
+static bool must_list(const carob_catalog_reply_t *reply,
+		      catalog_read_t reading)
+{
+	return reply->result == CAROB_ESTALE ||
+	       (reply->partial && reading == READ_CHANGES);
+}
+
+static void log_changes_lost(const carob_catalog_t *catalog)
+{
+	CAROB_LOG(CAROB_EV_CHANGES_LOST,
+		  CAROB_FIELD_U64("revision", catalog->revision),
+		  CAROB_FIELD_U64("age_ms", carob_catalog_age_ms(catalog)),
+		  CAROB_FIELD_CSTR("error", carob_error_last()));
+}
+
 static void on_done(carob_catalog_reader_t *reader,
 		    const carob_catalog_reply_t *reply)
 {
@@ -365,14 +382,17 @@
 	bool was_probe = catalog->failures > 0;
 
 	catalog->reading = READ_NOTHING;
-	if (reply->result != 0 && reply->result != CAROB_ESTALE) {
+	if (must_list(reply, reading)) {
+		log_changes_lost(catalog);
+		list_again(catalog);
+		return;
+	}
+	if (reply->result != 0) {
 		on_failure(catalog, reply);
 		return;
 	}
 	note_answer(catalog);
-	if (reply->result == CAROB_ESTALE)
-		list_again(catalog);
-	else if (reading == READ_PAGE)
+	if (reading == READ_PAGE)
 		on_page(catalog, reply);
 	else
 		on_changes(catalog, reply, was_probe);
--- a/tests/flow/catalog_test.c
+++ b/tests/flow/catalog_test.c
@@ -316,6 +316,27 @@
 }
 
 /* History gone in the middle of a listing: it begins anew. */
+/* After an outage more may have changed than an answer holds. The whole list
+ * is shorter then; a page that was cut short is read again. */
+static void test_an_answer_that_is_too_long(void)
+{
+	static const carob_catalog_reply_t partial = {
+		.result = CAROB_EUNAVAILABLE, .partial = true};
+	bed_t bed;
+
+	bed_init(&bed);
+	list_two(&bed);
+	CU_ASSERT_EQUAL(bed.call, CALL_WATCH);
+	answer(&bed, &partial);
+	CU_ASSERT_EQUAL(bed.call, CALL_LIST);
+	CU_ASSERT_STRING_EQUAL(bed.after, "");
+	answer(&bed, &partial);
+	CU_ASSERT_EQUAL(bed.call, CALL_NONE); /* a pause before the next try */
+	pass(&bed, 1000);
+	CU_ASSERT_EQUAL(bed.call, CALL_LIST);
+	bed_dispose(&bed);
+}
+
 static void test_history_gone(void)
 {
 	const carob_catalog_change_t left[] = {config(4, 2),
@@ -454,6 +475,7 @@
 		{"pages", test_pages},
 		{"a page that fails", test_a_page_that_fails},
 		{"history gone", test_history_gone},
+		{"an answer that is too long", test_an_answer_that_is_too_long},
 		{"nothing goes backwards", test_nothing_goes_backwards},
 		{"entries that lapse in an outage",
 		 test_entries_that_lapse_in_an_outage},
--- /dev/null
+++ b/tests/integration/flowd_backlog.sh
@@ -0,0 +1,24 @@
+# After an outage in which more was changed than an answer holds, carob-flowd
+# reads the whole list, and has the newest configuration within seconds.
+. script/flowdbed.sh
+CHANGES=4000 # of over 1 KB each as the store sends them: above 4 MB
+
+mode() { # serve|reset
+	"$BIN/carob-command" "$NET.1:5702" "{\"command\":\"mode\",\"mode\":\"$1\"}" >/dev/null
+}
+
+padding=$(printf 'x%.0s' {1..800})
+
+start_store
+put_config 1
+put_upstream i-2a ready 80
+write_settings
+start_flowd
+wait_for '"event":2010.*"version":1,'
+mode reset
+wait_for '"event":2003'
+"$BIN/carob-command" "$NET.1:5702" "{\"command\":\"put\",\"key\":\"notes\",
+\"value\":\"$padding\",\"times\":$CHANGES}" >/dev/null
+put_config 2
+mode serve
+wait_for '"event":2010.*"version":2,'
