soak: the start of a deployment is no calm time

Cause, by its logs: callers begin when one instance is in rotation, which is as soon as it knows one host. It reads of the others after its pause of 1.2 s; until then 212 flows met no upstream and 530 a limit of six. The judge counted these seconds as calm, since no trouble had been noted yet. Ruled out: anything later; no reset stands in the logs after second 1.2. The start of an instance by the script counts as trouble like any other start of it.

--- a/src/emulator/flows/main.c
+++ b/src/emulator/flows/main.c
@@ -171,6 +171,14 @@
 	carob_loop_stop(self->bed.program.loop);
 }
 
+/* An instance is in rotation as soon as it knows one host, and reads of the
+ * others after its pause: the start of a deployment is no calm time. */
+static void note_start(flows_t *self)
+{
+	for (size_t i = 0; i < self->bed.instance_count; i++)
+		judge_instance_trouble(&self->bed.judge, i, 0);
+}
+
 /* Callers begin once an instance is in rotation. */
 static void on_start(carob_timer_t *timer)
 {
@@ -185,6 +193,7 @@
 		carob_loop_stop(self->bed.program.loop);
 		return;
 	}
+	note_start(self);
 	operations_begin(self->bed.operations);
 	arm(self, &self->calm,
 	    (self->duration_s - self->calm_s) * CAROB_NS_PER_S);
