--- a/src/emulator/caller/main.c
+++ b/src/emulator/caller/main.c
@@ -216,21 +216,20 @@
 	carob_program_dispose(&caller->program);
 }
 
+static int read_settings(carob_program_t *program,
+			 const carob_json_node_t *root)
+{
+	return caller_settings_read(&((caller_t *)program)->settings, root);
+}
+
 int main(int argc, const char **argv)
 {
 	static caller_t self = {.program.name = "carob-caller",
+				.program.read_settings = read_settings,
 				.program.on_signal = on_signal};
 	int error;
 
 	error = carob_program_init(&self.program, argc, argv);
-	if (!error) {
-		carob_json_node_t root =
-			carob_json_doc_root(self.program.settings);
-
-		error = caller_settings_read(&self.settings, &root);
-		if (error)
-			carob_program_refuse_settings(&self.program, error);
-	}
 	if (!error)
 		error = start(&self);
 	if (!error) {
--- a/src/entryd/main.c
+++ b/src/entryd/main.c
@@ -92,9 +92,16 @@
 	carob_kernel_drain(program->kernel);
 }
 
+static int read_settings(carob_program_t *program,
+			 const carob_json_node_t *root)
+{
+	return entryd_settings_read(&((entryd_t *)program)->settings, root);
+}
+
 int main(int argc, const char **argv)
 {
 	static entryd_t self = {.program.name = "carob-entryd",
+				.program.read_settings = read_settings,
 				.program.log_fd = STDOUT_FILENO,
 				.program.on_signal = on_signal};
 	int error;
@@ -102,14 +109,6 @@
 	if (sodium_init() < 0)
 		return CAROB_EXIT_FAILED;
 	error = carob_program_init(&self.program, argc, argv);
-	if (!error) {
-		carob_json_node_t root =
-			carob_json_doc_root(self.program.settings);
-
-		error = entryd_settings_read(&self.settings, &root);
-		if (error)
-			carob_program_refuse_settings(&self.program, error);
-	}
 	if (!error)
 		error = start(&self);
 	if (!error)
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -308,23 +308,22 @@
 	carob_program_dispose(&self->program);
 }
 
+static int read_settings(carob_program_t *program,
+			 const carob_json_node_t *root)
+{
+	return flowd_settings_read(&((flowd_t *)program)->settings, root);
+}
+
 int main(int argc, const char **argv)
 {
 	static flowd_t self = {.program.name = "carob-flowd",
+			       .program.read_settings = read_settings,
 			       .program.log_fd = STDOUT_FILENO,
 			       .program.on_signal = on_signal,
 			       .program.on_reload = on_reload};
 	int error;
 
 	error = carob_program_init(&self.program, argc, argv);
-	if (!error) {
-		carob_json_node_t root =
-			carob_json_doc_root(self.program.settings);
-
-		error = flowd_settings_read(&self.settings, &root);
-		if (error)
-			carob_program_refuse_settings(&self.program, error);
-	}
 	if (!error)
 		error = start(&self);
 	if (!error)
--- a/src/net/program.c
+++ b/src/net/program.c
@@ -224,6 +224,16 @@
 	return error ? carob_program_fail(program, error) : 0;
 }
 
+static int read_own_settings(carob_program_t *program)
+{
+	carob_json_node_t root = carob_json_doc_root(program->settings);
+	int error = 0;
+
+	if (program->read_settings)
+		error = program->read_settings(program, &root);
+	return error ? carob_program_refuse_settings(program, error) : 0;
+}
+
 int carob_program_init(carob_program_t *program, int argc, const char **argv)
 {
 	char *path = NULL;
@@ -238,6 +248,8 @@
 	program->settings_path = path;
 	if (!error)
 		error = set_up(program);
+	if (!error)
+		error = read_own_settings(program);
 	return error;
 }
 
--- a/src/net/program.h
+++ b/src/net/program.h
@@ -28,6 +28,14 @@
 	const char *name;
 	/** SIGTERM or SIGINT came the `count`-th time. NULL: end the loop. */
 	void (*on_signal)(carob_program_t *program, int count);
+	/**
+	 * Reads the program's own settings, at the start. NULL: it does so
+	 * itself.
+	 *
+	 * @return 0 or a negative code
+	 */
+	int (*read_settings)(carob_program_t *program,
+			     const carob_json_node_t *settings);
 	/**
 	 * The settings were read again, by SIGHUP or because the file changed.
 	 * NULL: settings are read at the start only.
