emulator: one choice of a command by its name

Five stand-ins looked up "command" and three of them built the list of names first; carob_command_choose does both. carob-upstream reads its settings by the program's hook.

--- a/src/emulator/common/command.c
+++ b/src/emulator/common/command.c
@@ -3,6 +3,7 @@
 #include "carobtrail/errors.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 struct carob_command {
 	carob_udp_handler_t handler;
@@ -84,3 +85,18 @@
 	carob_udp_close(command->udp);
 	free(command);
 }
+
+int carob_command_choose(size_t *out, const carob_json_node_t *root,
+			 const void *rows, size_t row_bytes, size_t count)
+{
+	const char *names[CAROB_COMMANDS_MAX];
+	carob_json_node_t node;
+	int error = carob_json_get(&node, root, "command");
+
+	if (error)
+		return error;
+	for (size_t i = 0; i < count; i++)
+		memcpy(&names[i], (const char *)rows + i * row_bytes,
+		       sizeof(names[i]));
+	return carob_json_choice(out, &node, names, count);
+}
--- a/src/emulator/common/command.h
+++ b/src/emulator/common/command.h
@@ -37,6 +37,22 @@
 		       const carob_addr_t *local, carob_command_fn_t *run,
 		       void *context);
 
+/**
+ * Finds what a command asks for by its member "command".
+ *
+ * @param out receives the index of the row
+ * @param root the command
+ * @param rows each begins with a `const char *`, the name of a command
+ * @param row_bytes size of a row
+ * @param count of rows, at most CAROB_COMMANDS_MAX
+ * @return 0, CAROB_EINVALID (the error names all commands) or CAROB_ENOTFOUND
+ */
+int carob_command_choose(size_t *out, const carob_json_node_t *root,
+			 const void *rows, size_t row_bytes, size_t count);
+
+/** Most commands of one emulator. */
+#define CAROB_COMMANDS_MAX 16
+
 /** Closes the socket. */
 void carob_command_close(carob_command_t *command);
 
--- a/src/emulator/fabric/commands.c
+++ b/src/emulator/fabric/commands.c
@@ -201,17 +201,10 @@
 int fabric_command(carob_buf_t *answer, void *context,
 		   const carob_json_node_t *root)
 {
-	const char *names[CAROB_ARRAY_SIZE(verbs)];
-	carob_json_node_t node;
 	size_t index;
-	int error;
+	int error = carob_command_choose(&index, root, verbs, sizeof(verbs[0]),
+					 CAROB_ARRAY_SIZE(verbs));
 
-	for (size_t i = 0; i < CAROB_ARRAY_SIZE(verbs); i++)
-		names[i] = verbs[i].name;
-	error = carob_json_get(&node, root, "command");
-	if (!error)
-		error = carob_json_choice(&index, &node, names,
-					  CAROB_ARRAY_SIZE(verbs));
 	if (!error)
 		error = carob_json_object(root, verbs[index].keys,
 					  verbs[index].key_count);
--- a/src/emulator/flows/main.c
+++ b/src/emulator/flows/main.c
@@ -207,16 +207,13 @@
 	static const char *const names[] = {"instance_trouble",
 					    "store_trouble"};
 	flows_t *self = context;
-	carob_json_node_t node;
 	uint64_t instance = 0;
 	uint64_t ms = 0;
 	size_t index;
-	int error = carob_json_get(&node, root, "command");
+	int error = carob_command_choose(&index, root, names, sizeof(names[0]),
+					 CAROB_ARRAY_SIZE(names));
 
 	(void)answer;
-	if (!error)
-		error = carob_json_choice(&index, &node, names,
-					  CAROB_ARRAY_SIZE(names));
 	if (!error)
 		error = carob_json_get_u64(&ms, root, "ms", 0, MS_MAX);
 	if (!error && index == 0)
--- a/src/emulator/platform/commands.c
+++ b/src/emulator/platform/commands.c
@@ -94,13 +94,10 @@
 		     const carob_json_node_t *root)
 {
 	platform_t *platform = context;
-	carob_json_node_t node;
 	size_t verb = 0;
-	int error = carob_json_get(&node, root, "command");
+	int error = carob_command_choose(&verb, root, verbs, sizeof(verbs[0]),
+					 CAROB_ARRAY_SIZE(verbs));
 
-	if (!error)
-		error = carob_json_choice(&verb, &node, verbs,
-					  CAROB_ARRAY_SIZE(verbs));
 	if (error)
 		return error;
 	return verb == 0 ? run_faults(platform, root)
--- a/src/emulator/store/main.c
+++ b/src/emulator/store/main.c
@@ -314,18 +314,11 @@
 static int on_command(carob_buf_t *answer, void *context,
 		      const carob_json_node_t *root)
 {
-	const char *names[CAROB_ARRAY_SIZE(verbs)];
 	store_t *store = context;
-	carob_json_node_t node;
 	size_t index;
-	int error;
+	int error = carob_command_choose(&index, root, verbs, sizeof(verbs[0]),
+					 CAROB_ARRAY_SIZE(verbs));
 
-	for (size_t i = 0; i < CAROB_ARRAY_SIZE(verbs); i++)
-		names[i] = verbs[i].name;
-	error = carob_json_get(&node, root, "command");
-	if (!error)
-		error = carob_json_choice(&index, &node, names,
-					  CAROB_ARRAY_SIZE(verbs));
 	if (!error)
 		error = verbs[index].run(store, root);
 	if (error)
--- a/src/emulator/upstream/main.c
+++ b/src/emulator/upstream/main.c
@@ -97,21 +97,17 @@
 		       const carob_json_node_t *root)
 {
 	static const char *const keys[] = {"command", "upstream", "on"};
-	const char *names[CAROB_ARRAY_SIZE(host_commands)];
 	carob_str_t upstream = CAROB_STR("");
 	carob_json_node_t node;
 	size_t index = 0;
 	bool on;
 	int error;
 
-	for (size_t i = 0; i < CAROB_ARRAY_SIZE(names); i++)
-		names[i] = host_commands[i].name;
 	error = carob_json_object(root, keys, CAROB_ARRAY_SIZE(keys));
 	if (!error)
-		error = carob_json_get(&node, root, "command");
-	if (!error)
-		error = carob_json_choice(&index, &node, names,
-					  CAROB_ARRAY_SIZE(names));
+		error = carob_command_choose(&index, root, host_commands,
+					     sizeof(host_commands[0]),
+					     CAROB_ARRAY_SIZE(host_commands));
 	if (!error && carob_json_find(&node, root, "upstream"))
 		error = carob_json_name(&upstream, &node,
 					CAROB_RECORD_NAME_MAX);
@@ -186,20 +182,20 @@
 	carob_program_dispose(&self->program);
 }
 
+static int read_settings(carob_program_t *program,
+			 const carob_json_node_t *root)
+{
+	return upstream_settings_read(
+		&((upstream_program_t *)program)->settings, root);
+}
+
 int main(int argc, const char **argv)
 {
-	upstream_program_t self = {.program.name = "carob-upstream"};
+	upstream_program_t self = {.program.name = "carob-upstream",
+				   .program.read_settings = read_settings};
 	int error;
 
 	error = carob_program_init(&self.program, argc, argv);
-	if (!error) {
-		carob_json_node_t root =
-			carob_json_doc_root(self.program.settings);
-
-		error = upstream_settings_read(&self.settings, &root);
-		if (error)
-			carob_program_refuse_settings(&self.program, error);
-	}
 	if (!error)
 		error = start(&self);
 	if (!error)
