--- a/bench/placing.c
+++ b/bench/placing.c
@@ -13,6 +13,7 @@
 #include "carobtrail/log.h"
 #include "carobtrail/rng.h"
 #include "carobtrail/silence.h"
+#include "flow/host_model.h"
 #include "placing_ways.h"
 
 #include <stdio.h>
@@ -53,12 +54,6 @@
 
 typedef struct world world_t;
 
-typedef struct host {
-	uint64_t slot_free_ns[SLOTS];
-	uint64_t busy_ns;
-	uint32_t inside; /* running or waiting */
-} host_t;
-
 typedef struct instance {
 	carob_upstream_table_t upstreams;
 	carob_admission_t admission;
@@ -100,7 +95,7 @@
 	carob_kernel_t *kernel;
 	carob_rng_t rng;
 	instance_t instances[INSTANCES];
-	host_t hosts[UPSTREAMS];
+	host_model_t hosts[UPSTREAMS];
 	carob_timer_t arrival;
 	double flows_per_s;
 	tally_t tally;
@@ -142,27 +137,6 @@
 	return ms;
 }
 
-/* @return when the host answers, 0 if it sheds */
-static uint64_t enter(world_t *world, uint32_t index)
-{
-	host_t *host = &world->hosts[index];
-	uint64_t work_ns = (uint64_t)(work_ms(world, index) * MS);
-	uint64_t start = now_ns(world);
-	size_t first = 0;
-
-	if (host->inside >= SLOTS + QUEUE)
-		return 0;
-	host->inside++;
-	for (size_t i = 1; i < SLOTS; i++)
-		if (host->slot_free_ns[i] < host->slot_free_ns[first])
-			first = i;
-	if (host->slot_free_ns[first] > start)
-		start = host->slot_free_ns[first];
-	host->slot_free_ns[first] = start + work_ns;
-	host->busy_ns += work_ns;
-	return start + work_ns;
-}
-
 static void end_flow(flow_t *flow)
 {
 	if (flow->upstream != CAROB_UPSTREAM_NONE)
@@ -173,7 +147,10 @@
 static void send_request(flow_t *flow)
 {
 	world_t *world = flow->world;
-	uint64_t due = enter(world, flow->upstream);
+	double ms = work_ms(world, flow->upstream);
+	uint64_t due = host_model_enter(&world->hosts[flow->upstream], SLOTS,
+					QUEUE, now_ns(world),
+					(uint64_t)(ms * MS));
 
 	flow->stage = STAGE_WAITING;
 	flow->shed = due == 0;
--- a/tests/flow/overload_test.c
+++ b/tests/flow/overload_test.c
@@ -1,6 +1,7 @@
 /* Plays load against steering and small upstreams on a paused clock, and
  * checks what callers get: each has one request on a flow of its own. */
 #include "flow/flow_fixture.h"
+#include "flow/host_model.h"
 
 #include "carobtrail/kernel.h"
 #include "carobtrail/log.h"
@@ -21,11 +22,6 @@
 
 typedef struct world world_t;
 
-typedef struct host {
-	uint64_t slot_free_ns[SLOTS];
-	uint32_t inside; /* running or waiting */
-} host_t;
-
 typedef struct caller {
 	carob_timer_t timer;
 	world_t *world;
@@ -45,7 +41,7 @@
 	carob_steering_t *steering;
 	carob_timer_t arrival;
 	double per_s;
-	host_t hosts[HOSTS];
+	host_model_t hosts[HOSTS];
 	uint16_t next_port;
 	uint32_t callers;
 	uint32_t in_time;
@@ -67,25 +63,9 @@
 	return result;
 }
 
-/* @return when the host answers, 0 if it sheds */
-static uint64_t enter(world_t *world, host_t *host)
+static uint64_t draw_work_ns(world_t *world)
 {
-	uint64_t now = now_ns(world);
-	size_t first = 0;
-	uint64_t start;
-
-	if (host->inside >= SLOTS + QUEUE)
-		return 0;
-	host->inside++;
-	for (size_t i = 1; i < SLOTS; i++)
-		if (host->slot_free_ns[i] < host->slot_free_ns[first])
-			first = i;
-	start = host->slot_free_ns[first] > now ? host->slot_free_ns[first]
-						: now;
-	host->slot_free_ns[first] =
-		start +
-		(WORK_MS / 2 + carob_rng_below(&world->rng, WORK_MS)) * MS;
-	return host->slot_free_ns[first];
+	return (WORK_MS / 2 + carob_rng_below(&world->rng, WORK_MS)) * MS;
 }
 
 static void send_request(caller_t *caller)
@@ -95,7 +75,8 @@
 	uint64_t due;
 
 	(void)steer(world, fixture_data(caller->port, tag, 0, 100, 5000));
-	due = enter(world, &world->hosts[caller->host]);
+	due = host_model_enter(&world->hosts[caller->host], SLOTS, QUEUE,
+			       now_ns(world), draw_work_ns(world));
 	caller->connected = true;
 	caller->shed = due == 0;
 	if (caller->shed)
