flow: signs of silence are looked at once, before the times

A data packet to an upstream with any sign read the quantile of all answers, and then the signs again; the rule of the signs alone decides that now. Same outcome: without them an upstream is never silent.

--- a/include/carobtrail/silence.h
+++ b/include/carobtrail/silence.h
@@ -49,11 +49,8 @@
 bool carob_silence_is_avoided(const carob_upstream_t *upstream,
 			      uint64_t now_ns);
 
-/** @return whether there is any sign of silence since its last answer */
-static inline bool carob_silence_is_suspected(const carob_upstream_t *upstream)
-{
-	return upstream->failures > 0 || upstream->stalled;
-}
+/** @return whether there are signs enough, if times bear them out */
+bool carob_silence_has_signs(const carob_upstream_t *upstream);
 
 /**
  * @param table the upstreams
--- a/src/flow/silence.c
+++ b/src/flow/silence.c
@@ -103,7 +103,7 @@
 }
 
 /* Together, so many signs make an upstream silent. */
-static bool has_signs(const carob_upstream_t *upstream)
+bool carob_silence_has_signs(const carob_upstream_t *upstream)
 {
 	if (upstream->stalled)
 		return true;
@@ -118,7 +118,7 @@
 	const carob_upstream_t *upstream = &table->items[index];
 	uint64_t patience_ns = PATIENCE * usual_ns;
 
-	if (!has_signs(upstream))
+	if (!carob_silence_has_signs(upstream))
 		return false;
 	if (patience_ns < SILENT_NS)
 		patience_ns = SILENT_NS;
--- a/src/flow/steering_flow.c
+++ b/src/flow/steering_flow.c
@@ -81,7 +81,7 @@
 {
 	uint64_t usual_ms;
 
-	if (!carob_silence_is_suspected(&steering->upstreams->items[upstream]))
+	if (!carob_silence_has_signs(&steering->upstreams->items[upstream]))
 		return false;
 	usual_ms = carob_histogram_quantile(&steering->counters.answer_ms,
 					    USUAL_QUANTILE);
