Mend what reviews had listed: import, key writes, memory, one-way links, FIN

- carob_entry_import took over part of the records when they did not fit.
It now restores all or none, and reserves the predecessors before.
- A failure of carob_keyset_write was dropped: logged and tried again.
No test: it fails for want of memory only.
- The fabric held both directions of a TCP connection when one was cut.
- A long wait in ms was clamped to 600 ms by the platform's emulator.
- Callers of carob-flows did not close a flow that a draining host had closed.

--- a/src/core/keys/keys.c
+++ b/src/core/keys/keys.c
@@ -209,17 +209,24 @@
 
 static void write_store(carob_keys_t *keys, uint64_t index)
 {
-	carob_buf_t document = CAROB_BUF_INIT;
-
-	if (carob_keyset_write(&document, &keys->proposed, keys->secret) == 0) {
-		keys->call_pending = true;
-		keys->counters.store_calls++;
-		keys->call.done = on_written;
-		keys->kv->ops->put_cas(keys->kv, &keys->call,
-				       carob_str_from(keys->store_key),
-				       carob_buf_view(&document), index);
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t document = CAROB_BUF_INIT;
+	int error =
+		carob_keyset_write(&document, &keys->proposed, keys->secret);
+
+	if (error) {
+		CAROB_LOG(CAROB_EV_KEYS_UNAVAILABLE,
+			  CAROB_FIELD_I64("code", error),
+			  CAROB_FIELD_CSTR("error", carob_error_last()));
+		keys->counters.store_failures++;
+		delay_store_call(keys, STORE_RETRY_MS);
+		return;
 	}
-	carob_buf_dispose(&document);
+	keys->call_pending = true;
+	keys->counters.store_calls++;
+	keys->call.done = on_written;
+	keys->kv->ops->put_cas(keys->kv, &keys->call,
+			       carob_str_from(keys->store_key),
+			       carob_buf_view(&document), index);
 }
 
 /* Writes the known keys to the store, with a new key if one is due. */
--- a/src/core/requests/drain.c
+++ b/src/core/requests/drain.c
@@ -206,20 +206,23 @@
 		in->failed = true;
 }
 
-/* Adds an imported record, unless the request already has one here. */
-static int restore_record(carob_entry_t *entry,
+/* Adds an imported record, unless the request already has one here. `out`
+ * receives the new record, or NULL if there was one. */
+static int restore_record(carob_record_t **out, carob_entry_t *entry,
 			  const imported_record_t *imported)
 {
 	carob_record_t *record =
 		carob_record_find(entry, &imported->key, false);
 	carob_msg_t msg;
 
+	*out = NULL;
 	if (record)
 		return 0;
 	record = carob_record_new(entry, &imported->key, false);
 	if (!record)
 		return carob_error_set(CAROB_ENOMEM,
 				       "cannot allocate an imported record");
+	*out = record;
 	record->state = imported->state;
 	record->redirected_to = imported->redirected_to;
 	if (imported->answer_len &&
@@ -228,23 +231,27 @@
 	return 0;
 }
 
-static int add_predecessor(carob_entry_t *entry, carob_instance_id_t id)
+/* Allocates room for `count` more predecessors, so that adding them can't
+ * fail. */
+static int reserve_predecessors(carob_entry_t *entry, size_t count)
 {
-	size_t count = entry->predecessor_count;
-	carob_instance_id_t *ids;
+	carob_instance_id_t *ids =
+		realloc(entry->predecessors,
+			(entry->predecessor_count + count + 1) * sizeof(*ids));
 
-	if (carob_drain_is_predecessor(entry, id))
-		return 0;
-	ids = realloc(entry->predecessors, (count + 1) * sizeof(*ids));
 	if (!ids)
 		return carob_error_set(CAROB_ENOMEM,
 				       "cannot allocate the predecessors");
 	entry->predecessors = ids;
-	ids[count] = id;
-	entry->predecessor_count++;
 	return 0;
 }
 
+static void add_predecessor(carob_entry_t *entry, carob_instance_id_t id)
+{
+	if (!carob_drain_is_predecessor(entry, id))
+		entry->predecessors[entry->predecessor_count++] = id;
+}
+
 typedef struct import_header {
 	size_t id_count;
 	size_t record_count;
@@ -286,26 +293,49 @@
 	return 0;
 }
 
+/* Adds all records, or none if memory runs out. */
+static int restore_records(carob_entry_t *entry, import_header_t *header)
+{
+	carob_record_t **added =
+		calloc(header->record_count + 1, sizeof(carob_record_t *));
+	imported_record_t record;
+	size_t count = 0;
+	int error = 0;
+
+	if (!added)
+		return carob_error_set(CAROB_ENOMEM,
+				       "cannot allocate the imported records");
+	while (!error && count < header->record_count) {
+		read_record(&record, &header->records);
+		error = restore_record(&added[count++], entry, &record);
+	}
+	for (size_t i = 0; error && i < count; i++)
+		if (added[i])
+			carob_record_free(entry, added[i]);
+	free(added);
+	return error;
+}
+
 int carob_entry_import(carob_entry_t *entry, carob_instance_id_t predecessor,
 		       carob_str_t records)
 {
 	import_header_t header;
-	imported_record_t record;
 	int error = validate_import(&header, predecessor, records);
 
-	for (size_t i = 0; !error && i < header.record_count; i++) {
-		read_record(&record, &header.records);
-		error = restore_record(entry, &record);
-	}
+	if (!error)
+		error = reserve_predecessors(entry, header.id_count);
+	if (!error)
+		error = restore_records(entry, &header);
+	if (error)
+		return error;
 	/*
 	 * The instances count as predecessors only once every record has been
 	 * restored: a duplicate of a request without a record would run again.
 	 */
-	for (size_t i = 0; !error && i < header.id_count; i++)
-		error = add_predecessor(entry, read_id(&header.ids));
-	if (!error)
-		CAROB_LOG(CAROB_EV_MEMORY_IMPORTED,
-			  CAROB_FIELD_U64("instance", predecessor.id),
-			  CAROB_FIELD_U64("records", header.record_count));
-	return error;
+	for (size_t i = 0; i < header.id_count; i++)
+		add_predecessor(entry, read_id(&header.ids));
+	CAROB_LOG(CAROB_EV_MEMORY_IMPORTED,
+		  CAROB_FIELD_U64("instance", predecessor.id),
+		  CAROB_FIELD_U64("records", header.record_count));
+	return 0;
 }
--- a/src/emulator/fabric/link.c
+++ b/src/emulator/fabric/link.c
@@ -186,11 +186,10 @@
 	return best ? &best->faults : &no_faults;
 }
 
-bool fabric_links_is_cut(const fabric_links_t *links, const carob_addr_t *a,
-			 const carob_addr_t *b)
+bool fabric_links_is_cut(const fabric_links_t *links, const carob_addr_t *from,
+			 const carob_addr_t *to)
 {
-	return fabric_links_find(links, a, b)->drop >= 1 ||
-	       fabric_links_find(links, b, a)->drop >= 1;
+	return fabric_links_find(links, from, to)->drop >= 1;
 }
 
 static bool random_event(fabric_links_t *links, double probability)
--- a/src/emulator/fabric/link.h
+++ b/src/emulator/fabric/link.h
@@ -61,9 +61,9 @@
 					 const carob_addr_t *from,
 					 const carob_addr_t *to);
 
-/** @return whether the link is cut in at least one direction */
-bool fabric_links_is_cut(const fabric_links_t *links, const carob_addr_t *a,
-			 const carob_addr_t *b);
+/** @return whether the link is cut in the direction between two addresses */
+bool fabric_links_is_cut(const fabric_links_t *links, const carob_addr_t *from,
+			 const carob_addr_t *to);
 
 /** Decides at random how a datagram is delivered. */
 void fabric_links_decide_delivery(fabric_delivery_t *out, fabric_links_t *links,
--- a/src/emulator/fabric/tcp_relay.c
+++ b/src/emulator/fabric/tcp_relay.c
@@ -59,11 +59,17 @@
 		bufferevent_disable(bev, EV_READ);
 }
 
-static bool is_cut(const connection_t *connection)
+/* Returns whether data that arrives at one end is held back. */
+static bool is_held(const connection_t *connection,
+		    const struct bufferevent *from)
 {
-	return fabric_links_is_cut(connection->relay->links,
-				   &connection->client_addr,
-				   &connection->relay->target);
+	const carob_addr_t *client = &connection->client_addr;
+	const carob_addr_t *target = &connection->relay->target;
+
+	if (from == connection->client)
+		return fabric_links_is_cut(connection->relay->links, client,
+					   target);
+	return fabric_links_is_cut(connection->relay->links, target, client);
 }
 
 static void on_write(struct bufferevent *bev, void *arg)
@@ -72,7 +78,7 @@
 
 	if (connection->ended)
 		close_connection(connection);
-	else if (!is_cut(connection))
+	else if (!is_held(connection, other_end(connection, bev)))
 		bufferevent_enable(other_end(connection, bev), EV_READ);
 }
 
@@ -101,16 +107,30 @@
 				   (int)len);
 }
 
-static void update_connection(connection_t *connection)
+/* Stalls or resumes the direction from one end to the other. */
+static void update_direction(const connection_t *connection,
+			     struct bufferevent *from)
 {
-	if (is_cut(connection)) {
-		bufferevent_disable(connection->client, EV_READ | EV_WRITE);
-		bufferevent_disable(connection->target, EV_READ | EV_WRITE);
+	struct bufferevent *to = other_end(connection, from);
+
+	if (is_held(connection, from)) {
+		bufferevent_disable(from, EV_READ);
+		bufferevent_disable(to, EV_WRITE);
 		return;
 	}
-	bufferevent_enable(connection->client, EV_READ | EV_WRITE);
-	bufferevent_enable(connection->target, EV_READ | EV_WRITE);
-	if (!connection->connected)
+	bufferevent_enable(from, EV_READ);
+	bufferevent_enable(to, EV_WRITE);
+}
+
+/* A connection needs both directions to be opened. */
+static void update_connection(connection_t *connection)
+{
+	bool cut = is_held(connection, connection->client) ||
+		   is_held(connection, connection->target);
+
+	update_direction(connection, connection->client);
+	update_direction(connection, connection->target);
+	if (!connection->connected && !cut)
 		connect_target(connection);
 }
 
--- a/src/emulator/fabric/tcp_relay.h
+++ b/src/emulator/fabric/tcp_relay.h
@@ -1,7 +1,8 @@
 /**
  * @file tcp_relay.h
- * A TCP address whose connections are relayed to one target. A cut link
- * stalls connections without closing them; they continue when it is healed.
+ * A TCP address whose connections are relayed to one target. A link that
+ * drops everything stalls the data of its direction without closing
+ * connections; it continues when the link is healed.
  */
 #ifndef CAROB_FABRIC_TCP_RELAY_H
 #define CAROB_FABRIC_TCP_RELAY_H
--- a/src/emulator/flows/callers.c
+++ b/src/emulator/flows/callers.c
@@ -471,6 +471,16 @@
 	return NULL;
 }
 
+/* A draining host closes a flow after its response: the caller closes its end,
+ * too, and opens another flow for its next request. */
+static void process_packet(caller_t *caller, const wire_packet_t *packet)
+{
+	stream_process_packet(&caller->stream, packet);
+	if (caller->state == FLOW_OPEN && caller->stream.fin_received &&
+	    !caller->stream.closing)
+		stream_close(&caller->stream);
+}
+
 static void on_datagram(carob_udp_handler_t *handler, const carob_addr_t *from,
 			carob_str_t data)
 {
@@ -503,7 +513,7 @@
 	else if (packet.flags & WIRE_SYN)
 		on_syn_ack(caller, &packet);
 	else if (caller->state == FLOW_OPEN)
-		stream_process_packet(&caller->stream, &packet);
+		process_packet(caller, &packet);
 }
 
 static int open_socket(zone_socket_t *socket, callers_t *callers, size_t zone)
--- a/src/emulator/platform/kv.c
+++ b/src/emulator/platform/kv.c
@@ -11,6 +11,7 @@
 
 #define WAIT_DEFAULT_S 300
 #define WAIT_MAX_S     600
+#define S_PER_MIN      60
 
 static json_t *encode_value(const carob_buf_t *value)
 {
@@ -66,18 +67,20 @@
 static uint64_t parse_wait(const char *text)
 {
 	char *end;
+	uint64_t unit_ns;
 	uint64_t n;
 
 	if (!text)
 		return WAIT_DEFAULT_S * CAROB_NS_PER_S;
 	n = strtoull(text, &end, 10);
-	if (n > WAIT_MAX_S * 1000ULL)
-		n = WAIT_MAX_S;
+	unit_ns = CAROB_NS_PER_S;
 	if (strcmp(end, "ms") == 0)
-		return n * CAROB_NS_PER_MS;
-	if (n > WAIT_MAX_S)
-		n = WAIT_MAX_S;
-	return n * CAROB_NS_PER_S * (strcmp(end, "m") == 0 ? 60 : 1);
+		unit_ns = CAROB_NS_PER_MS;
+	else if (strcmp(end, "m") == 0)
+		unit_ns = S_PER_MIN * CAROB_NS_PER_S;
+	if (n > WAIT_MAX_S * CAROB_NS_PER_S / unit_ns)
+		return WAIT_MAX_S * CAROB_NS_PER_S;
+	return n * unit_ns;
 }
 
 /* Lets a call wait if it is a watch and its index has not changed. Returns
--- a/tests/core/requests/entry_failure_test.c
+++ b/tests/core/requests/entry_failure_test.c
@@ -1,5 +1,6 @@
 #include "test_runner.h"
 
+#include "carobtrail/errors.h"
 #include "core/requests/entry_priv.h"
 #include "core/entry_fixture.h"
 
@@ -785,6 +786,32 @@
 	fixture_free(f);
 }
 
+/* If the records do not fit, none of them is taken over, and the instance does
+ * not act as the successor. */
+static void test_import_without_memory(void)
+{
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t records = CAROB_BUF_INIT;
+	fixture_t *f = fixture_new(2, CAROB_ENTRY_MUTATION_NONE);
+	carob_msg_t first = owned_request(f, CAROB_CODE_POST, 9, "check");
+	carob_msg_t second = owned_request(f, CAROB_CODE_POST, 10, "next");
+
+	fixture_exchange(f, 0, &first);
+	fixture_exchange(f, 0, &second);
+	CU_ASSERT_EQUAL(carob_entry_export(&records, f->instances[0].entry), 0);
+	/* There is room for one record. */
+	f->instances[1].entry->record_store.bytes_max = 1;
+	CU_ASSERT_EQUAL(carob_entry_import(f->instances[1].entry,
+					   f->instances[0].id,
+					   carob_buf_view(&records)),
+			CAROB_ENOMEM);
+	CU_ASSERT_EQUAL(fixture_counters(f, 1).remembered, 0);
+	fixture_set_member_state(f, 0, CAROB_MEMBER_LEFT, 1);
+	CU_ASSERT_EQUAL(fixture_exchange(f, 1, &first).verdict,
+			CAROB_VERDICT_UNKNOWN);
+	CU_ASSERT_EQUAL(fixture_count_runs(f, "check"), 1);
+	fixture_free(f);
+}
+
 static void test_drain_moves_observations(void)
 {
 	fixture_t *f = fixture_new(2, CAROB_ENTRY_MUTATION_NONE);
@@ -1188,6 +1215,8 @@
 		{"no request is accepted after the export",
 		 test_no_request_accepted_after_export},
 		{"truncated records are not imported", test_truncated_import},
+		{"records that do not fit are not imported",
+		 test_import_without_memory},
 		{"drain moves observations", test_drain_moves_observations},
 		{"drain completes requests", test_drain_with_requests},
 		{"redirected request runs once",
--- a/tests/platform/items_test.c
+++ b/tests/platform/items_test.c
@@ -4,7 +4,9 @@
 #include "emulator/common/cbor_json.h"
 #include "test_runner.h"
 
+#include <jansson.h>
 #include <sodium.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define BODY_BYTES 8192
@@ -289,6 +291,49 @@
 	}
 }
 
+/* Number of allocations by the JSON library until all further ones fail. */
+static size_t allocations_left;
+
+static void *allocate_or_fail(size_t size)
+{
+	if (allocations_left == 0)
+		return NULL;
+	allocations_left--;
+	return malloc(size);
+}
+
+/* Without memory, decoding must fail as such at every point: a format error
+ * would blame the store, and an entry reported as unusable would remove its
+ * upstream. */
+static void test_out_of_memory(void)
+{
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t json = CAROB_BUF_INIT;
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t body = CAROB_BUF_INIT;
+	platform_items_t *items = NULL;
+	int error = CAROB_ENOMEM;
+
+	begin_events(&json);
+	append_item(&json, "servers/i-01", VALID_ENTRY, 5);
+	append_item(&json, "op/config",
+		    "{\"version\":3,\"routes\":[],\"limits\":{}}", 6);
+	CU_ASSERT_EQUAL(carob_buf_printf(&json, "],\"current_rev\":99}"), 0);
+	CU_ASSERT_EQUAL(cbor_json_encode_text(&body, carob_buf_view(&json)), 0);
+	for (size_t count = 0; error == CAROB_ENOMEM && count < 1000; count++) {
+		allocations_left = count;
+		json_set_alloc_funcs(allocate_or_fail, free);
+		error = platform_items_decode(&items, carob_buf_view(&body));
+		json_set_alloc_funcs(malloc, free);
+	}
+	CU_ASSERT_EQUAL_FATAL(error, 0);
+	if (error)
+		return;
+	CU_ASSERT_EQUAL(platform_items_reply(items)->changes[0].kind,
+			CAROB_CATALOG_UPSTREAM);
+	CU_ASSERT_EQUAL(platform_items_reply(items)->changes[1].kind,
+			CAROB_CATALOG_CONFIG);
+	platform_items_free(items);
+}
+
 int main(void)
 {
 	static const test_case_t cases[] = {
@@ -300,6 +345,7 @@
 		 test_two_configurations_in_one_response},
 		{"malformed response bodies", test_malformed_bodies},
 		{"malformed or unsupported CBOR", test_invalid_cbor},
+		{"fails as such when memory runs out", test_out_of_memory},
 	};
 
 	return run_tests("platform items", cases, CAROB_ARRAY_SIZE(cases));
