flowd: packets that come before the catalogue is read wait for it

Change: the socket is not read until the catalogue is complete; packets wait in its buffer. When they are read, those that waited longer than callers take to repeat them (2 s; SYNs 1.4 s as before) are dropped as stale.

--- a/include/carobtrail/catalog.h
+++ b/include/carobtrail/catalog.h
@@ -122,6 +122,13 @@
 	const carob_catalog_source_ops_t *ops;
 };
 
+/** Listener of a catalogue; implementations embed it. */
+typedef struct carob_catalog_listener carob_catalog_listener_t;
+struct carob_catalog_listener {
+	/** Called once, when `carob_catalog_complete` has become true. */
+	void (*complete)(carob_catalog_listener_t *listener);
+};
+
 typedef struct carob_catalog carob_catalog_t;
 
 /** Options of `carob_catalog_new`. */
@@ -142,6 +149,7 @@
 	 * accepted it, in milliseconds.
 	 */
 	uint32_t apply_ms;
+	carob_catalog_listener_t *listener; /* NULL: none */
 	uint64_t seed; /* seed of the jitter that spreads instances' retries */
 } carob_catalog_options_t;
 
--- a/src/flow/catalog.c
+++ b/src/flow/catalog.c
@@ -266,12 +266,23 @@
 	return false;
 }
 
+static void check_complete(carob_catalog_t *catalog)
+{
+	carob_catalog_listener_t *listener = catalog->options.listener;
+
+	if (catalog->complete || !can_place_flows(catalog))
+		return;
+	catalog->complete = true;
+	if (listener)
+		listener->complete(listener);
+}
+
 static void apply_changes(carob_catalog_t *catalog,
 			  const carob_catalog_reply_t *reply)
 {
 	for (size_t i = 0; i < reply->count; i++)
 		apply_change(catalog, &reply->changes[i]);
-	catalog->complete = catalog->complete || can_place_flows(catalog);
+	check_complete(catalog);
 }
 
 static void begin_lapse_grace(carob_catalog_t *catalog)
@@ -315,7 +326,7 @@
 					 now_ns(catalog));
 	catalog->revision = catalog->page_revision;
 	catalog->listed = true;
-	catalog->complete = catalog->complete || can_place_flows(catalog);
+	check_complete(catalog);
 	CAROB_LOG(CAROB_EV_CATALOG_LISTED,
 		  CAROB_FIELD_U64("revision", catalog->revision),
 		  CAROB_FIELD_U64("upstreams",
--- a/src/flowd/frontend.c
+++ b/src/flowd/frontend.c
@@ -10,6 +10,9 @@
 /* Callers give up on a connection attempt after this time without a response,
  * so a SYN that waited longer in the receive buffer is dropped. */
 #define SYN_AGE_MS_MAX 1400
+/* Callers repeat other packets at least every 1.6 s, so an older one is a
+ * duplicate; its flow may have ended since. */
+#define PACKET_AGE_MS_MAX 2000
 /* Maximum rate of logged decisions; further ones are only counted. The limit is
  * above the rate of new flows that an instance has in current deployments, and
  * bounds the cost of a flood of new flows. */
@@ -132,8 +135,8 @@
 		frontend->counters.malformed++;
 		return;
 	}
-	if (packet.syn &&
-	    carob_udp_hub_age_ms(frontend->hub) > SYN_AGE_MS_MAX) {
+	if (carob_udp_hub_age_ms(frontend->hub) >
+	    (packet.syn ? SYN_AGE_MS_MAX : PACKET_AGE_MS_MAX)) {
 		frontend->counters.stale++;
 		return;
 	}
@@ -166,14 +169,21 @@
 	frontend->catalog = catalog;
 	frontend->clock = clock;
 	error = carob_udp_open(&frontend->udp, hub, local, &frontend->handler);
+	if (!error)
+		error = carob_udp_set_receiving(frontend->udp, false);
 	if (error) {
-		free(frontend);
+		flowd_frontend_free(frontend);
 		return error;
 	}
 	*out = frontend;
 	return 0;
 }
 
+int flowd_frontend_start(flowd_frontend_t *frontend)
+{
+	return carob_udp_set_receiving(frontend->udp, true);
+}
+
 void flowd_frontend_free(flowd_frontend_t *frontend)
 {
 	if (!frontend)
--- a/src/flowd/frontend.h
+++ b/src/flowd/frontend.h
@@ -16,12 +16,13 @@
 typedef struct flowd_frontend_counters {
 	uint64_t packets;
 	uint64_t malformed;
-	uint64_t stale;	   /* SYNs dropped since their callers have given up */
+	uint64_t stale;	   /* packets that waited too long to be read */
 	uint64_t unlogged; /* decisions not logged, because of the rate limit */
 } flowd_frontend_counters_t;
 
 /**
- * Creates a frontend and opens its socket.
+ * Creates a frontend and opens its socket. Packets wait in the socket until
+ * `flowd_frontend_start`.
  *
  * @param out receives the frontend; release it with `flowd_frontend_free`
  * @param hub the UDP buffers of the event loop
@@ -38,6 +39,14 @@
 		       const carob_catalog_t *catalog,
 		       const carob_clock_t *clock);
 
+/**
+ * Begins to handle packets. Before the catalogue is complete they could only be
+ * dropped, and their callers would repeat them up to 1.6 s later.
+ *
+ * @return 0 or CAROB_ENOMEM
+ */
+int flowd_frontend_start(flowd_frontend_t *frontend);
+
 /** Closes the socket and releases the frontend; NULL is allowed. */
 void flowd_frontend_free(flowd_frontend_t *frontend);
 
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -45,6 +45,7 @@
 	flowd_frontend_t *frontend;
 	flowd_http_t *readiness;
 	flowd_http_t *metrics;
+	carob_catalog_listener_t catalog_listener;
 	flowd_http_handler_t readiness_handler;
 	flowd_http_handler_t metrics_handler;
 	flowd_http_handler_t explain_handler;
@@ -238,6 +239,17 @@
 	return carob_steering_new(&self->steering, &options);
 }
 
+static void on_catalog_complete(carob_catalog_listener_t *listener)
+{
+	flowd_t *self = CAROB_CONTAINER_OF(listener, flowd_t, catalog_listener);
+	int error = flowd_frontend_start(self->frontend);
+
+	if (!error)
+		return;
+	carob_program_fail(&self->program, error);
+	carob_loop_stop(self->program.loop);
+}
+
 static int start_catalog(flowd_t *self)
 {
 	carob_catalog_options_t options = CAROB_CATALOG_OPTIONS_INIT;
@@ -255,6 +267,8 @@
 	options.upstreams = &self->upstreams;
 	options.contact_ms = self->settings.contact_ms;
 	options.apply_ms = self->settings.apply_ms;
+	self->catalog_listener.complete = on_catalog_complete;
+	options.listener = &self->catalog_listener;
 	options.seed = carob_addr_hash(0, &self->settings.packets);
 	return carob_catalog_new(&self->catalog, &options);
 }
--- a/src/net/udp.c
+++ b/src/net/udp.c
@@ -291,6 +291,17 @@
 	return 0;
 }
 
+int carob_udp_set_receiving(carob_udp_t *udp, bool receiving)
+{
+	int failed = receiving ? event_add(udp->event, NULL)
+			       : event_del(udp->event);
+
+	if (failed)
+		return carob_error_set(CAROB_ENOMEM,
+				       "cannot change a UDP socket event");
+	return 0;
+}
+
 void carob_udp_close(carob_udp_t *udp)
 {
 	if (!udp)
--- a/src/net/udp.h
+++ b/src/net/udp.h
@@ -70,6 +70,14 @@
 int carob_udp_open(carob_udp_t **out, carob_udp_hub_t *hub,
 		   const carob_addr_t *local, carob_udp_handler_t *handler);
 
+/**
+ * Stops or resumes the reception of datagrams. Meanwhile they are queued in the
+ * operating system, as far as the receive buffer allows.
+ *
+ * @return 0 or CAROB_ENOMEM
+ */
+int carob_udp_set_receiving(carob_udp_t *udp, bool receiving);
+
 /** Closes a socket after sending the datagrams that it has queued. */
 void carob_udp_close(carob_udp_t *udp);
 
--- a/tests/flow/catalog_test.c
+++ b/tests/flow/catalog_test.c
@@ -32,6 +32,8 @@
 	int reads; /* number of reads so far */
 	uint64_t era;
 	bool has_era; /* whether responses say `era` */
+	carob_catalog_listener_t listener;
+	int completed; /* calls of the listener */
 } fixture_t;
 
 static void fixture_list(carob_catalog_source_t *source,
@@ -67,6 +69,11 @@
 	((fixture_t *)source)->reading = READ_NONE;
 }
 
+static void fixture_complete(carob_catalog_listener_t *listener)
+{
+	CAROB_CONTAINER_OF(listener, fixture_t, listener)->completed++;
+}
+
 static const carob_catalog_source_ops_t fixture_ops = {
 	.list = fixture_list,
 	.watch = fixture_watch,
@@ -86,6 +93,8 @@
 	options.source = &fixture->source;
 	options.routes = &fixture->routes;
 	options.upstreams = &fixture->upstreams;
+	fixture->listener.complete = fixture_complete;
+	options.listener = &fixture->listener;
 	CU_ASSERT_EQUAL_FATAL(carob_catalog_new(&fixture->catalog, &options),
 			      0);
 	carob_catalog_start(fixture->catalog);
@@ -248,13 +257,16 @@
 	respond_with(&fixture, 1, NULL, 0);
 	respond_with(&fixture, 2, &first, 1);
 	CU_ASSERT_FALSE(carob_catalog_complete(fixture.catalog));
+	CU_ASSERT_EQUAL(fixture.completed, 0);
 	/* There is no pause between reads before the first upstream. */
 	CU_ASSERT_EQUAL(fixture.reading, READ_WATCH);
 	respond_with(&fixture, 3, &second, 1);
 	CU_ASSERT_TRUE(carob_catalog_complete(fixture.catalog));
+	CU_ASSERT_EQUAL(fixture.completed, 1);
 	advance(&fixture, 2000);
 	respond_with(&fixture, 4, &third, 1);
 	CU_ASSERT_TRUE(carob_catalog_complete(fixture.catalog));
+	CU_ASSERT_EQUAL(fixture.completed, 1);
 	fixture_dispose(&fixture);
 }
 
