--- a/tests/emulator/tcp_relay_test.c
+++ b/tests/emulator/tcp_relay_test.c
@@ -13,7 +13,7 @@
 #define LISTEN "127.0.4.1:17001"
 #define TARGET "127.0.4.2:17002"
 #define CLIENT "127.0.4.3:1" /* the port is chosen by the system */
-#define ROUNDS 50 /* of the event loop, until all data has passed */
+#define ROUNDS 50	     /* of the event loop, until all data has passed */
 
 /* A connection through a relay: its two ends and the fabric's links. */
 typedef struct fixture {
