--- a/tests/flow/catalog_test.c
+++ b/tests/flow/catalog_test.c
@@ -547,75 +547,76 @@
 	respond_with(fixture, 50, changes, count);
 }
 
+/* What is known of i-a before the return, what the copy and a later listing say
+ * of it, and its state after each. */
+typedef struct return_case {
+	const char *name;
+	carob_upstream_state_t before;
+	copy_of_upstream_t copy;
+	uint64_t copy_sequence;
+	carob_upstream_state_t at_once;
+	copy_of_upstream_t rewritten;
+	carob_upstream_state_t at_last;
+} return_case_t;
+
+static const return_case_t return_cases[] = {
+	{"unchanged", CAROB_UPSTREAM_READY, COPY_READY, 3, CAROB_UPSTREAM_READY,
+	 COPY_READY, CAROB_UPSTREAM_READY},
+	{"drained since the copy", CAROB_UPSTREAM_DRAINING, COPY_READY, 3,
+	 CAROB_UPSTREAM_DRAINING, COPY_DRAINING, CAROB_UPSTREAM_DRAINING},
+	{"drains after the return", CAROB_UPSTREAM_READY, COPY_DRAINING, 5,
+	 CAROB_UPSTREAM_DRAINING, COPY_DRAINING, CAROB_UPSTREAM_DRAINING},
+	{"registered since the copy", CAROB_UPSTREAM_READY, COPY_MISSING, 0,
+	 CAROB_UPSTREAM_LAPSED, COPY_READY, CAROB_UPSTREAM_READY},
+	{"registered since the copy, then lost", CAROB_UPSTREAM_READY,
+	 COPY_MISSING, 0, CAROB_UPSTREAM_LAPSED, COPY_MISSING,
+	 CAROB_UPSTREAM_GONE},
+	{"gone since the copy", CAROB_UPSTREAM_GONE, COPY_READY, 3,
+	 CAROB_UPSTREAM_GONE, COPY_MISSING, CAROB_UPSTREAM_GONE},
+	{"gone, its entry in the copy stays", CAROB_UPSTREAM_GONE, COPY_READY,
+	 3, CAROB_UPSTREAM_GONE, COPY_READY, CAROB_UPSTREAM_READY},
+	{"gone, back at once with a new report", CAROB_UPSTREAM_GONE,
+	 COPY_READY, 6, CAROB_UPSTREAM_READY, COPY_READY, CAROB_UPSTREAM_READY},
+	{"ready, the copy is older", CAROB_UPSTREAM_READY, COPY_DRAINING, 2,
+	 CAROB_UPSTREAM_READY, COPY_READY, CAROB_UPSTREAM_READY},
+};
+
 /* Runs a catalogue through the return of the platform from a copy. Before it,
  * i-a is ready, drains (sequence 4) or is gone. The first listing in the new
  * era reads the copy, and the one at the end of the grace period what i-a has
  * written since, if it lives. */
-static void test_return_from_copy(void)
+static void check_return(const return_case_t *c)
 {
-	static const struct {
-		const char *name;
-		carob_upstream_state_t before;
-		copy_of_upstream_t copy;
-		uint64_t copy_sequence;
-		carob_upstream_state_t at_once;
-		copy_of_upstream_t rewritten;
-		carob_upstream_state_t at_last;
-	} cases[] = {
-		{"unchanged", CAROB_UPSTREAM_READY, COPY_READY, 3,
-		 CAROB_UPSTREAM_READY, COPY_READY, CAROB_UPSTREAM_READY},
-		{"drained since the copy", CAROB_UPSTREAM_DRAINING, COPY_READY,
-		 3, CAROB_UPSTREAM_DRAINING, COPY_DRAINING,
-		 CAROB_UPSTREAM_DRAINING},
-		{"drains after the return", CAROB_UPSTREAM_READY, COPY_DRAINING,
-		 5, CAROB_UPSTREAM_DRAINING, COPY_DRAINING,
-		 CAROB_UPSTREAM_DRAINING},
-		{"registered since the copy", CAROB_UPSTREAM_READY,
-		 COPY_MISSING, 0, CAROB_UPSTREAM_LAPSED, COPY_READY,
-		 CAROB_UPSTREAM_READY},
-		{"registered since the copy, then lost", CAROB_UPSTREAM_READY,
-		 COPY_MISSING, 0, CAROB_UPSTREAM_LAPSED, COPY_MISSING,
-		 CAROB_UPSTREAM_GONE},
-		{"gone since the copy", CAROB_UPSTREAM_GONE, COPY_READY, 3,
-		 CAROB_UPSTREAM_GONE, COPY_MISSING, CAROB_UPSTREAM_GONE},
-		{"gone, its entry in the copy stays", CAROB_UPSTREAM_GONE,
-		 COPY_READY, 3, CAROB_UPSTREAM_GONE, COPY_READY,
-		 CAROB_UPSTREAM_READY},
-		{"gone, back at once with a new report", CAROB_UPSTREAM_GONE,
-		 COPY_READY, 6, CAROB_UPSTREAM_READY, COPY_READY,
-		 CAROB_UPSTREAM_READY},
-		{"ready, the copy is older", CAROB_UPSTREAM_READY,
-		 COPY_DRAINING, 2, CAROB_UPSTREAM_READY, COPY_READY,
-		 CAROB_UPSTREAM_READY},
-	};
 	const carob_catalog_change_t drain = report("i-a", 101, 4, true);
 	const carob_catalog_change_t removal = removal_change("i-a", 102);
+	fixture_t fixture;
 
-	for (size_t i = 0; i < CAROB_ARRAY_SIZE(cases); i++) {
-		fixture_t fixture;
-
-		begin_first_era(&fixture);
-		if (cases[i].before == CAROB_UPSTREAM_DRAINING)
-			respond_with(&fixture, 101, &drain, 1);
-		if (cases[i].before == CAROB_UPSTREAM_GONE)
-			respond_with(&fixture, 102, &removal, 1);
-		advance(&fixture, 2000);
-		fixture.era = 2;
-		respond_error(&fixture, CAROB_ESTALE);
-		respond_copy(&fixture, cases[i].copy, cases[i].copy_sequence);
-		if (!expect_state(&fixture, "i-a", cases[i].at_once))
-			printf(" at once: %s", cases[i].name);
-		advance(&fixture, 3000);
-		respond_copy(&fixture, cases[i].rewritten, 7);
-		if (!expect_state(&fixture, "i-a", cases[i].at_last))
-			printf(" at last: %s", cases[i].name);
-		expect_state(&fixture, "i-b", CAROB_UPSTREAM_READY);
-		CU_ASSERT_EQUAL(carob_catalog_revision(fixture.catalog), 50);
-		CU_ASSERT_EQUAL(carob_catalog_era(fixture.catalog), 2);
-		CU_ASSERT_EQUAL(carob_catalog_counters(fixture.catalog)->eras,
-				1);
-		fixture_dispose(&fixture);
-	}
+	begin_first_era(&fixture);
+	if (c->before == CAROB_UPSTREAM_DRAINING)
+		respond_with(&fixture, 101, &drain, 1);
+	if (c->before == CAROB_UPSTREAM_GONE)
+		respond_with(&fixture, 102, &removal, 1);
+	advance(&fixture, 2000);
+	fixture.era = 2;
+	respond_error(&fixture, CAROB_ESTALE);
+	respond_copy(&fixture, c->copy, c->copy_sequence);
+	if (!expect_state(&fixture, "i-a", c->at_once))
+		printf(" at once: %s", c->name);
+	advance(&fixture, 3000);
+	respond_copy(&fixture, c->rewritten, 7);
+	if (!expect_state(&fixture, "i-a", c->at_last))
+		printf(" at last: %s", c->name);
+	expect_state(&fixture, "i-b", CAROB_UPSTREAM_READY);
+	CU_ASSERT_EQUAL(carob_catalog_revision(fixture.catalog), 50);
+	CU_ASSERT_EQUAL(carob_catalog_era(fixture.catalog), 2);
+	CU_ASSERT_EQUAL(carob_catalog_counters(fixture.catalog)->eras, 1);
+	fixture_dispose(&fixture);
+}
+
+static void test_return_from_copy(void)
+{
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(return_cases); i++)
+		check_return(&return_cases[i]);
 }
 
 /* In the new era, changes have lower revisions than before. */
