catalog: no pause after a long reply of a watch

Cause: the store returns some 500 changes at a time.

Change: after 250 changes or more the next watch begins at once. Test: flow-catalog, 'reads a backlog without pauses', fails without it.

--- a/src/flow/catalog.c
+++ b/src/flow/catalog.c
@@ -23,6 +23,9 @@
 /* Pause after a watch that returned changes. Changes come in bursts and each
  * call is a cost, so the pause lets one call read a whole burst. */
 #define BURST_PAUSE_MS(apply_ms) ((apply_ms)*2 / 5)
+/* A watch returns some 500 changes at most. After this many, more may wait, and
+ * are read at once. */
+#define BACKLOG_CHANGES 250
 /* Upstreams that are alive restore entries which expired in an outage, or which
  * the platform lost, within 2 s after it. Another second is for the read that
  * returns the entries. */
@@ -344,7 +347,8 @@
 					 FORGET_GONE_NS, now_ns(catalog));
 	/* No pause while the instance is starting and its state is still
 	 * incomplete. */
-	if (reply->count > 0 && !was_probe && catalog->complete)
+	if (reply->count > 0 && reply->count < BACKLOG_CHANGES && !was_probe &&
+	    catalog->complete)
 		schedule_read(catalog,
 			      BURST_PAUSE_MS(catalog->options.apply_ms));
 	else
--- a/tests/flow/catalog_test.c
+++ b/tests/flow/catalog_test.c
@@ -289,6 +289,32 @@
 	fixture_dispose(&fixture);
 }
 
+/* A watch returns 500 changes at most. After so many, the next ones are read at
+ * once: with a pause between any two reads, an instance would fall behind ever
+ * more when many upstreams are replaced. */
+static void test_backlog(void)
+{
+	static const struct {
+		size_t count;
+		read_kind_t next;
+	} cases[] = {{1, READ_NONE}, {100, READ_NONE}, {500, READ_WATCH}};
+	static carob_catalog_change_t changes[500];
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(changes); i++)
+		changes[i] = (carob_catalog_change_t){
+			.kind = CAROB_CATALOG_OTHER, .revision = 11 + i};
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(cases); i++) {
+		fixture_t fixture;
+
+		fixture_init(&fixture);
+		respond_listing(&fixture);
+		respond_with(&fixture, 10 + cases[i].count, changes,
+			     cases[i].count);
+		CU_ASSERT_EQUAL(fixture.reading, cases[i].next);
+		fixture_dispose(&fixture);
+	}
+}
+
 static void test_pages(void)
 {
 	const carob_catalog_change_t first = upstream_change("i-a", 3, false);
@@ -798,6 +824,7 @@
 		{"is complete with the first upstream",
 		 test_complete_with_first_upstream},
 		{"pauses after changes", test_pause_after_changes},
+		{"reads a backlog without pauses", test_backlog},
 		{"lists in pages", test_pages},
 		{"retries a page that failed", test_failed_page},
 		{"lists again when the history is lost", test_lost_history},
