flow: no evidence against upstreams from an own queue

Change: a meter of the own link (a virtual queue); while that is long, and for 1.5 s after, copies are no evidence. Nor are copies that waited in the receive buffer for more than 50 ms, or that are read within 100 ms of the last packet. Setting link_mbps, event 3012, metric link_congested.

--- a/include/carobtrail/flow_packet.h
+++ b/include/carobtrail/flow_packet.h
@@ -16,6 +16,7 @@
 	uint32_t seq;
 	uint32_t ack;	       /* 0 in a SYN */
 	uint32_t steering_tag; /* identifies the upstream; 0: not known yet */
+	uint32_t age_ms;       /* time since the instance received it */
 	uint16_t data_bytes;
 	uint8_t syn_copy; /* of a SYN: 0 at first, 1, 2 in retransmissions */
 	bool syn;
--- a/include/carobtrail/log.h
+++ b/include/carobtrail/log.h
@@ -66,6 +66,8 @@
 	X(CAROB_EV_ZONE_REACHABLE, 3008, INFO,                                 \
 	  "an availability zone can be reached again")                         \
 	X(CAROB_EV_PAUSE_NOTICED, 3009, WARN, "this process was paused")       \
+	X(CAROB_EV_LINK_CONGESTED, 3012, WARN,                                 \
+	  "own link is congested: missing answers are no evidence")            \
 	X(CAROB_EV_DEATH_REFUTED, 3010, WARN,                                  \
 	  "this instance was declared dead and refutes it")                    \
 	X(CAROB_EV_CLUSTER_JOINED, 3011, INFO, "joined the other instances")   \
--- a/include/carobtrail/steering.h
+++ b/include/carobtrail/steering.h
@@ -9,6 +9,7 @@
 #include "carobtrail/admission.h"
 #include "carobtrail/flow_table.h"
 #include "carobtrail/histogram.h"
+#include "carobtrail/link_meter.h"
 #include "carobtrail/placement.h"
 #include "carobtrail/route_table.h"
 
@@ -80,6 +81,8 @@
 	const carob_route_table_t *routes;
 	carob_upstream_table_t *upstreams;
 	carob_str_t home_zone;
+	/** Meter of the own link, borrowed; NULL: it is never congested. */
+	const carob_link_meter_t *link;
 } carob_steering_options_t;
 
 #define CAROB_STEERING_OPTIONS_VERSION 1
--- a/src/flow/steering.c
+++ b/src/flow/steering.c
@@ -125,6 +125,10 @@
 		return;
 	}
 	flow->last_packet_ms = now;
+	if (!carob_steering_is_evidence(steering, packet)) {
+		forward(out, steering, CAROB_STEER_REPEATED, flow->upstream);
+		return;
+	}
 	carob_failure_detector_record_syn(steering->upstreams, flow->upstream,
 					  carob_steering_now_ns(steering));
 	carob_steering_check_silent(steering, flow->upstream);
@@ -280,6 +284,7 @@
 	steering->clock = options->clock;
 	steering->routes = options->routes;
 	steering->upstreams = options->upstreams;
+	steering->link = options->link;
 	steering->silent_upstream = CAROB_UPSTREAM_NONE;
 	error = carob_name_table_add(&steering->home_zone,
 				     &options->upstreams->zones,
--- a/src/flow/steering_flow.c
+++ b/src/flow/steering_flow.c
@@ -5,6 +5,14 @@
 
 /* The usual response time is this quantile of all response times. */
 #define USUAL_TIME_QUANTILE 0.99
+/* Callers retransmit a request after 200 ms or more. Copies that are read at
+ * shorter intervals were delayed in a queue on their way here: the upstream has
+ * not seen them before and may well answer. */
+#define RETRANSMIT_MS_MIN 100
+/* A copy that waited longer in the receive buffer of this instance is no
+ * evidence either: what shows that the upstream has answered may wait behind
+ * it. */
+#define EVIDENCE_AGE_MS_MAX 50
 
 static bool counts_as_open(const carob_flow_t *flow)
 {
@@ -76,6 +84,16 @@
 	return flow;
 }
 
+bool carob_steering_is_evidence(const carob_steering_t *steering,
+				const carob_flow_packet_t *packet)
+{
+	if (packet->age_ms > EVIDENCE_AGE_MS_MAX)
+		return false;
+	return !steering->link ||
+	       !carob_link_meter_congested(steering->link,
+					   carob_steering_now_ns(steering));
+}
+
 bool carob_steering_is_silent(const carob_steering_t *steering,
 			      carob_upstream_index_t upstream)
 {
@@ -175,14 +193,17 @@
 }
 
 static void track_request(carob_steering_t *steering, carob_flow_t *flow,
-			  const carob_flow_packet_t *packet)
+			  const carob_flow_packet_t *packet,
+			  uint32_t since_last_ms)
 {
 	bool is_new = (int32_t)(packet->seq - flow->last_seq) > 0;
 
 	if (packet->data_bytes == 0)
 		return;
 	if (!is_new) {
-		record_retransmission(steering, flow);
+		if (since_last_ms >= RETRANSMIT_MS_MIN &&
+		    carob_steering_is_evidence(steering, packet))
+			record_retransmission(steering, flow);
 		return;
 	}
 	flow->last_seq = packet->seq;
@@ -195,7 +216,10 @@
 void carob_steering_track_packet(carob_steering_t *steering, carob_flow_t *flow,
 				 const carob_flow_packet_t *packet)
 {
-	flow->last_packet_ms = carob_steering_now_ms(steering);
+	uint32_t now = carob_steering_now_ms(steering);
+	uint32_t since_last_ms = now - flow->last_packet_ms;
+
+	flow->last_packet_ms = now;
 	if (packet->rst) {
 		carob_steering_remove_flow(steering, flow);
 		return;
@@ -203,7 +227,7 @@
 	if (flow->phase != CAROB_FLOW_OPEN)
 		return;
 	track_response(steering, flow, packet);
-	track_request(steering, flow, packet);
+	track_request(steering, flow, packet, since_last_ms);
 	if (packet->fin) {
 		carob_steering_unbind_flow(steering, flow);
 		flow->phase = CAROB_FLOW_CLOSING;
--- a/src/flow/steering_priv.h
+++ b/src/flow/steering_priv.h
@@ -16,6 +16,7 @@
 	const carob_route_table_t *routes;
 	carob_upstream_table_t *upstreams;
 	carob_name_id_t home_zone;
+	const carob_link_meter_t *link; /* NULL: none */
 	carob_flow_table_t flows;
 	carob_admission_t admission;
 	/** Upstream whose flows are to be reset, or CAROB_UPSTREAM_NONE. */
@@ -86,6 +87,14 @@
 void carob_steering_track_packet(carob_steering_t *steering, carob_flow_t *flow,
 				 const carob_flow_packet_t *packet);
 
+/**
+ * @return whether a copy of a packet is evidence that its upstream does not
+ *         answer. It is none if it was read late, or if the link of this
+ *         instance is congested: then its caller may wait for this instance.
+ */
+bool carob_steering_is_evidence(const carob_steering_t *steering,
+				const carob_flow_packet_t *packet);
+
 /** @return whether an upstream is silent; see failure_detector.h */
 bool carob_steering_is_silent(const carob_steering_t *steering,
 			      carob_upstream_index_t upstream);
--- a/src/flowd/frontend.c
+++ b/src/flowd/frontend.c
@@ -7,6 +7,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+/* Headers of IPv4 and UDP. */
+#define IP_HEADER_BYTES 28
 /* Callers give up on a connection attempt after this time without a response,
  * so a SYN that waited longer in the receive buffer is dropped. */
 #define SYN_AGE_MS_MAX 1400
@@ -27,6 +29,7 @@
 	carob_steering_t *steering;
 	const carob_catalog_t *catalog;
 	const carob_clock_t *clock;
+	carob_link_meter_t *link;
 	uint64_t log_second;
 	uint32_t log_lines; /* decisions in `log_second`, logged or not */
 	flowd_frontend_counters_t counters;
@@ -90,6 +93,21 @@
 				  carob_catalog_age_ms(frontend->catalog)));
 }
 
+static void count_sent(flowd_frontend_t *frontend, uint64_t bytes)
+{
+	uint64_t now = carob_clock_now_ns(frontend->clock);
+	bool was_congested = carob_link_meter_congested(frontend->link, now);
+
+	carob_link_meter_send(frontend->link, bytes, now);
+	if (!was_congested && carob_link_meter_congested(frontend->link, now))
+		CAROB_LOG(
+			CAROB_EV_LINK_CONGESTED,
+			CAROB_FIELD_U64("queued_bytes",
+					(uint64_t)frontend->link->queued_bytes),
+			CAROB_FIELD_U64("flows", carob_steering_flow_count(
+							 frontend->steering)));
+}
+
 static void send_to_upstream(flowd_frontend_t *frontend, carob_str_t data,
 			     const carob_upstream_t *upstream)
 {
@@ -98,6 +116,7 @@
 	size_t len = platform_packet_encode(datagram, data, upstream->number,
 					    upstream->tag);
 
+	count_sent(frontend, len + IP_HEADER_BYTES);
 	carob_udp_send(frontend->udp, &to, datagram, len);
 }
 
@@ -135,8 +154,8 @@
 		frontend->counters.malformed++;
 		return;
 	}
-	if (carob_udp_hub_age_ms(frontend->hub) >
-	    (packet.syn ? SYN_AGE_MS_MAX : PACKET_AGE_MS_MAX)) {
+	packet.age_ms = carob_udp_hub_age_ms(frontend->hub);
+	if (packet.age_ms > (packet.syn ? SYN_AGE_MS_MAX : PACKET_AGE_MS_MAX)) {
 		frontend->counters.stale++;
 		return;
 	}
@@ -153,7 +172,7 @@
 int flowd_frontend_new(flowd_frontend_t **out, carob_udp_hub_t *hub,
 		       const carob_addr_t *local, carob_steering_t *steering,
 		       const carob_catalog_t *catalog,
-		       const carob_clock_t *clock)
+		       const carob_clock_t *clock, carob_link_meter_t *link)
 {
 	flowd_frontend_t *frontend = calloc(1, sizeof(*frontend));
 	int error;
@@ -168,6 +187,7 @@
 	frontend->steering = steering;
 	frontend->catalog = catalog;
 	frontend->clock = clock;
+	frontend->link = link;
 	error = carob_udp_open(&frontend->udp, hub, local, &frontend->handler);
 	if (!error)
 		error = carob_udp_set_receiving(frontend->udp, false);
--- a/src/flowd/frontend.h
+++ b/src/flowd/frontend.h
@@ -31,13 +31,14 @@
  * @param steering decides about packets; must outlive the frontend
  * @param catalog source of the revision and age that are logged with each
  *        decision; must outlive the frontend
- * @param clock clock for the rate limit of the log
+ * @param clock clock for the rate limit of the log and for `link`
+ * @param link counts what is sent to upstreams; must outlive the frontend
  * @return 0, CAROB_ENOMEM or CAROB_EIO
  */
 int flowd_frontend_new(flowd_frontend_t **out, carob_udp_hub_t *hub,
 		       const carob_addr_t *local, carob_steering_t *steering,
 		       const carob_catalog_t *catalog,
-		       const carob_clock_t *clock);
+		       const carob_clock_t *clock, carob_link_meter_t *link);
 
 /**
  * Begins to handle packets. Before the catalogue is complete they could only be
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -39,6 +39,7 @@
 	flowd_settings_t settings;
 	carob_route_table_t routes;
 	carob_upstream_table_t upstreams;
+	carob_link_meter_t link;
 	carob_steering_t *steering;
 	platform_store_t *store;
 	carob_catalog_t *catalog;
@@ -103,6 +104,8 @@
 		.routes = &self->routes,
 		.frontend = self->frontend,
 		.hub = self->program.hub,
+		.link_congested = carob_link_meter_congested(
+			&self->link, carob_kernel_now_ns(self->program.kernel)),
 	};
 
 	(void)query;
@@ -236,6 +239,8 @@
 	options.routes = &self->routes;
 	options.upstreams = &self->upstreams;
 	options.home_zone = self->settings.zone;
+	carob_link_meter_init(&self->link, self->settings.link_mbps);
+	options.link = &self->link;
 	return carob_steering_new(&self->steering, &options);
 }
 
@@ -281,7 +286,8 @@
 	error = flowd_frontend_new(&self->frontend, self->program.hub,
 				   &self->settings.packets, self->steering,
 				   self->catalog,
-				   carob_kernel_clock(self->program.kernel));
+				   carob_kernel_clock(self->program.kernel),
+				   &self->link);
 	self->readiness_handler.path = PLATFORM_READY_PATH;
 	self->readiness_handler.handle = handle_readiness;
 	if (!error)
--- a/src/flowd/metrics.c
+++ b/src/flowd/metrics.c
@@ -103,6 +103,7 @@
 		{"packets_repeated_data", steering->repeated_data},
 		{"flows", carob_steering_flow_count(source->steering)},
 		{"flows_not_remembered", steering->not_remembered},
+		{"link_congested", source->link_congested},
 		{"log_decisions_skipped", frontend->unlogged},
 	};
 
--- a/src/flowd/metrics.h
+++ b/src/flowd/metrics.h
@@ -17,6 +17,7 @@
 	const carob_route_table_t *routes;
 	const flowd_frontend_t *frontend;
 	const carob_udp_hub_t *hub;
+	bool link_congested;
 } flowd_metrics_source_t;
 
 /** Appends all metrics to `out`. @return 0 or CAROB_ENOMEM */
--- a/src/flowd/settings.c
+++ b/src/flowd/settings.c
@@ -13,11 +13,12 @@
 #define STOP_GRACE_S_MIN     1
 #define STOP_GRACE_S_MAX     3600
 #define MS_PER_S	     1000
+#define LINK_MBPS_MAX	     1000000
 
 static const char *const keys[] = {
 	"instance", "zone",	    "packets",	   "readiness",
 	"metrics",  "store",	    "first_start", "contact_ms",
-	"apply_ms", "stop_grace_s", "log_level",
+	"apply_ms", "stop_grace_s", "log_level",   "link_mbps",
 };
 
 static int read_identity(flowd_settings_t *out, const carob_json_node_t *root)
@@ -90,6 +91,10 @@
 		error = read_addresses(out, root);
 	if (!error)
 		error = read_durations(out, root);
+	if (!error)
+		error = carob_json_get_real_or(&out->link_mbps, root,
+					       "link_mbps", 0, LINK_MBPS_MAX,
+					       0);
 	if (!error)
 		error = carob_json_get_bool_or(&out->first_start, root,
 					       "first_start", false);
--- a/src/flowd/settings.h
+++ b/src/flowd/settings.h
@@ -19,6 +19,7 @@
 	bool first_start;	/* first start of the whole deployment */
 	uint32_t contact_ms;	/* see carob_catalog_options_t */
 	uint32_t apply_ms;	/* see carob_catalog_options_t */
+	double link_mbps;	/* rate of the own link; 0: not known */
 	uint32_t stop_grace_ms; /* time from SIGTERM to SIGKILL */
 } flowd_settings_t;
 
--- a/tests/flow/steering_test.c
+++ b/tests/flow/steering_test.c
@@ -2,9 +2,11 @@
 
 #include "carobtrail/log.h"
 
-#define MS	      CAROB_NS_PER_MS
-#define PORT	      40001
-#define RETRANSMIT_MS 200
+#define MS		 CAROB_NS_PER_MS
+#define PORT		 40001
+#define RETRANSMIT_MS	 200
+#define LINK_MBPS	 10
+#define LINK_BYTES_PER_S (LINK_MBPS * 1000000 / 8)
 
 /* Requests of the first route may be retried, those of the second must not. */
 #define SAFE_ROUTE   ((carob_endpoint_t){0xc6120001, 443})
@@ -15,6 +17,7 @@
 	carob_manual_clock_t clock;
 	carob_route_table_t routes;
 	carob_upstream_table_t upstreams;
+	carob_link_meter_t link;
 	carob_steering_t *steering;
 	carob_reset_sender_t sender;
 	uint32_t resets; /* sent through `sender` */
@@ -77,6 +80,8 @@
 	options.routes = &fixture->routes;
 	options.upstreams = &fixture->upstreams;
 	options.home_zone = CAROB_STR("hou-a");
+	carob_link_meter_init(&fixture->link, LINK_MBPS);
+	options.link = &fixture->link;
 	CU_ASSERT_EQUAL_FATAL(carob_steering_new(&fixture->steering, &options),
 			      0);
 	fixture->sender.send = count_reset;
@@ -265,13 +270,60 @@
 	bool answers_other_request; /* the upstream responds to another request */
 	uint32_t retransmit_ms[3]; /* times of the retransmissions */
 	uint32_t resets;	   /* expected number of resets */
+	uint32_t age_ms; /* how long they wait in the receive buffer */
+	bool congested;	 /* the own link is congested */
 } stall_cases[] = {
-	{"no response", SAFE_ROUTE, true, false, {200, 600, 1400}, 1},
-	{"not idempotent", UNSAFE_ROUTE, true, false, {200, 600, 1400}, 0},
-	{"no upstream responds", SAFE_ROUTE, false, false, {200, 600, 1400}, 0},
-	{"another response", SAFE_ROUTE, true, true, {200, 600, 1400}, 0},
-	{"queued retransmissions", SAFE_ROUTE, true, false, {1, 2, 3}, 0},
-	{"retransmitted briefly", SAFE_ROUTE, true, false, {200, 600, 700}, 0},
+	{"no response", SAFE_ROUTE, true, false, {200, 600, 1400}, 1, 0, false},
+	{"not idempotent",
+	 UNSAFE_ROUTE,
+	 true,
+	 false,
+	 {200, 600, 1400},
+	 0,
+	 0,
+	 false},
+	{"no upstream responds",
+	 SAFE_ROUTE,
+	 false,
+	 false,
+	 {200, 600, 1400},
+	 0,
+	 0,
+	 false},
+	{"another response",
+	 SAFE_ROUTE,
+	 true,
+	 true,
+	 {200, 600, 1400},
+	 0,
+	 0,
+	 false},
+	{"queued retransmissions",
+	 SAFE_ROUTE,
+	 true,
+	 false,
+	 {1, 2, 3},
+	 0,
+	 0,
+	 false},
+	{"retransmitted briefly",
+	 SAFE_ROUTE,
+	 true,
+	 false,
+	 {200, 600, 700},
+	 0,
+	 0,
+	 false},
+	{"read soon", SAFE_ROUTE, true, false, {200, 600, 1400}, 1, 10, false},
+	{"read late", SAFE_ROUTE, true, false, {200, 600, 1400}, 0, 100, false},
+	{"own link congested",
+	 SAFE_ROUTE,
+	 true,
+	 false,
+	 {200, 600, 1400},
+	 0,
+	 0,
+	 true},
 };
 
 /* Steers a request from `port` to the upstream of `tag`, and the caller's
@@ -292,6 +344,11 @@
 	carob_flow_packet_t syn = fixture_syn(PORT, 0);
 	size_t copies = 0;
 
+	request.age_ms = stall_cases[i].age_ms;
+	if (stall_cases[i].congested)
+		carob_link_meter_send(
+			&fixture->link, LINK_BYTES_PER_S,
+			carob_clock_now_ns(&fixture->clock.clock));
 	syn.route = stall_cases[i].route;
 	request.route = stall_cases[i].route;
 	(void)steer(fixture, syn);
--- a/tests/flowd/settings_test.c
+++ b/tests/flowd/settings_test.c
@@ -27,6 +27,9 @@
 	 "\"packets\":\"10.1.0.10:8172\",\"readiness\":\"10.1.0.10:8167\","
 	 "\"store\":\"10.200.1.7:8169\"}",
 	 0, NULL},
+	{"{" REQUIRED ",\"link_mbps\":20.5}", 0, NULL},
+	{"{" REQUIRED ",\"link_mbps\":-1}", CAROB_EINVALID, "link_mbps"},
+	{"{" REQUIRED ",\"link_mbps\":\"20\"}", CAROB_EINVALID, "link_mbps"},
 	{"{" REQUIRED ",\"stop_grace_s\":1e300}", CAROB_EINVALID,
 	 "stop_grace_s"},
 	{"{}", CAROB_EINVALID, "instance"},
