emulator: leases and transactions in carob-store

POST /v1/kv-lease, /v1/kv-keep/ID, /v1/kv-txn and DELETE /v1/kv-lease-end/ID, in CBOR as the platform speaks them. Items of a lease go when it ends; a return from a copy ends all leases.

--- a/src/emulator/store/items.c
+++ b/src/emulator/store/items.c
@@ -118,25 +118,78 @@
 	return 0;
 }
 
-int store_items_write(store_items_t *items, carob_str_t key, carob_str_t value)
+/* Writes an item, whose strings are taken over; without a value it is removed. */
+static int write_item(store_items_t *items, store_item_t *item)
 {
-	store_item_t item = {.key = strndup(key.ptr, key.len),
-			     .value = value.ptr ? encode_value(value) : NULL,
-			     .revision = items->revision + 1};
 	bool found;
-	size_t position = position_of(items, item.key, &found);
+	size_t position = position_of(items, item->key, &found);
 
-	if (!value.ptr && !found) {
-		item_clear(&item);
+	if (!item->value && !found) {
+		item_clear(item);
 		return 0;
 	}
-	items->revision++;
-	append_history(items, &item);
+	item->revision = ++items->revision;
+	append_history(items, item);
 	if (found)
 		remove_at(items, position);
-	if (value.ptr)
-		return insert_at(items, position, &item);
-	item_clear(&item);
+	if (item->value)
+		return insert_at(items, position, item);
+	item_clear(item);
+	return 0;
+}
+
+int store_items_write(store_items_t *items, carob_str_t key, carob_str_t value)
+{
+	store_item_t item = {.key = strndup(key.ptr, key.len),
+			     .value = value.ptr ? encode_value(value) : NULL};
+
+	return write_item(items, &item);
+}
+
+int store_items_write_leased(store_items_t *items, carob_str_t key,
+			     carob_str_t value, uint64_t lease)
+{
+	store_item_t item = {.key = strndup(key.ptr, key.len),
+			     .value = strndup(value.ptr, value.len),
+			     .lease = lease};
+
+	return write_item(items, &item);
+}
+
+/* Removes the items of one lease, or with `lease` 0 those of all leases. */
+static int remove_leased(store_items_t *items, uint64_t lease)
+{
+	size_t position = 0;
+	int error = 0;
+
+	while (!error && position < items->count) {
+		const store_item_t *item = &items->items[position];
+
+		if (item->lease == 0 || (lease && item->lease != lease))
+			position++;
+		else
+			error = store_items_write(items,
+						  carob_str_from(item->key),
+						  (carob_str_t){NULL, 0});
+	}
+	return error;
+}
+
+int store_items_remove_lease(store_items_t *items, uint64_t lease)
+{
+	return remove_leased(items, lease);
+}
+
+int store_items_remove_leased(store_items_t *items)
+{
+	return remove_leased(items, 0);
+}
+
+uint64_t store_items_revision(const store_items_t *items, carob_str_t key)
+{
+	for (size_t i = 0; i < items->count; i++)
+		if (carob_str_eq(carob_str_from(items->items[i].key), key))
+			return items->items[i].revision;
 	return 0;
 }
 
@@ -156,6 +209,7 @@
 	out->key = strdup(item->key);
 	out->value = strdup(item->value);
 	out->revision = item->revision;
+	out->lease = item->lease;
 	return out->key && out->value ? 0 : CAROB_ENOMEM;
 }
 
--- a/src/emulator/store/items.h
+++ b/src/emulator/store/items.h
@@ -16,6 +16,7 @@
 	char *key;
 	char *value; /* base64; NULL: the change removed the item */
 	uint64_t revision;
+	uint64_t lease; /* 0: none */
 } store_item_t;
 
 /** All items, sorted by key. */
@@ -72,6 +73,27 @@
 int store_items_expire(store_items_t *items, const char *prefix,
 		       uint64_t revision);
 
+/**
+ * Writes an item under a lease.
+ *
+ * @param items the store's items
+ * @param key key of the item
+ * @param value the value as base64 text
+ * @param lease the lease, 0: none
+ * @return 0 or CAROB_ENOMEM
+ */
+int store_items_write_leased(store_items_t *items, carob_str_t key,
+			     carob_str_t value, uint64_t lease);
+
+/** Removes the items of a lease. @return 0 or CAROB_ENOMEM */
+int store_items_remove_lease(store_items_t *items, uint64_t lease);
+
+/** Removes the items of all leases. @return 0 or CAROB_ENOMEM */
+int store_items_remove_leased(store_items_t *items);
+
+/** @return the revision of an item, 0 if there is none */
+uint64_t store_items_revision(const store_items_t *items, carob_str_t key);
+
 /** Drops the history; watches from an older revision then fail. */
 void store_items_compact(store_items_t *items);
 
--- a/src/emulator/store/main.c
+++ b/src/emulator/store/main.c
@@ -4,6 +4,7 @@
 #include "emulator/common/cbor_json.h"
 #include "emulator/common/command.h"
 #include "items.h"
+#include "writes.h"
 #include "net/program.h"
 
 #include <arpa/inet.h>
@@ -26,6 +27,7 @@
 #define COPY_INTERVAL_MS 500
 #define COPIES_MAX	 40
 #define RESTORE_MS_MAX	 60000
+#define LEASE_CHECK_MS	 100
 /* Entries of upstreams. They expire if they are not written after a return. */
 #define SERVERS_PREFIX "servers/"
 
@@ -56,6 +58,8 @@
 	carob_command_t *command;
 	struct evhttp *server;
 	store_items_t items;
+	store_leases_t leases;
+	carob_timer_t lease_timer; /* ends leases that have expired */
 	store_mode_t mode;
 	uint64_t delay_ms;
 	call_t *calls;
@@ -244,6 +248,31 @@
 	evhttp_clear_headers(&query);
 }
 
+static void execute_write(store_t *store, struct evhttp_request *request)
+{
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t json = CAROB_BUF_INIT;
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t body = CAROB_BUF_INIT;
+	struct evbuffer *input = evhttp_request_get_input_buffer(request);
+	store_write_t write = {
+		.method = evhttp_request_get_command(request) ==
+					  EVHTTP_REQ_DELETE
+				  ? "DELETE"
+				  : "POST",
+		.path = evhttp_uri_get_path(
+			evhttp_request_get_evhttp_uri(request)),
+		.body = {(const char *)evbuffer_pullup(input, -1),
+			 evbuffer_get_length(input)},
+		.now_ns = carob_kernel_now_ns(store->program.kernel),
+	};
+	int status = store_write_execute(&json, &store->items, &store->leases,
+					 &write);
+
+	if (json.len > 0)
+		(void)cbor_json_encode_text(&body, carob_buf_view(&json));
+	reply(store, request, status, &body);
+	end_changed_watches(store);
+}
+
 static void on_request(struct evhttp_request *request, void *arg)
 {
 	store_t *store = arg;
@@ -256,6 +285,9 @@
 		reply(store, request, HTTP_BUSY, NULL);
 	} else if (store->mode == MODE_RESET) {
 		evhttp_connection_free(evhttp_request_get_connection(request));
+	} else if (evhttp_request_get_command(request) != EVHTTP_REQ_GET &&
+		   store->mode != MODE_SILENT) {
+		execute_write(store, request);
 	} else if (is_watch || strcmp(path, "/v1/kv-range") == 0) {
 		begin_call(store, request, is_watch);
 	} else {
@@ -354,6 +386,16 @@
 	arm(store, &store->copy_timer, COPY_INTERVAL_MS);
 }
 
+static void on_lease_check(carob_timer_t *timer)
+{
+	store_t *store = CAROB_CONTAINER_OF(timer, store_t, lease_timer);
+
+	if (store_leases_expire(&store->leases, &store->items,
+				carob_kernel_now_ns(store->program.kernel)))
+		end_changed_watches(store);
+	arm(store, &store->lease_timer, LEASE_CHECK_MS);
+}
+
 static void on_expiry(carob_timer_t *timer)
 {
 	store_t *store = CAROB_CONTAINER_OF(timer, store_t, expiry_timer);
@@ -370,6 +412,7 @@
 	(void)store_items_restore(
 		&store->items,
 		&store->copies[store->restore_copy % COPIES_MAX]);
+	store_leases_clear(&store->leases, &store->items);
 	/* Later copies are of data that the store does not have any more. */
 	store->copy_count = store->restore_copy + 1;
 	store->mode = MODE_SERVE;
@@ -473,6 +516,8 @@
 	store->restore_timer.fire = on_restore;
 	store->expiry_timer.fire = on_expiry;
 	arm(store, &store->copy_timer, 0);
+	store->lease_timer.fire = on_lease_check;
+	arm(store, &store->lease_timer, LEASE_CHECK_MS);
 	return 0;
 }
 
