flowd: one reader a zone reads the platform's changes for the others

Change: an instance of each zone claims a slot in the store under a lease and reads often; the others ask it for changes by a long poll, and get the body that the store sent with era, revision and age, authenticated. What is too old, of an older era, not authentic or silent is replaced by a read of the platform at once. Listings still come from the platform.

--- a/include/carobtrail/catalog.h
+++ b/include/carobtrail/catalog.h
@@ -9,6 +9,7 @@
 #define CAROBTRAIL_CATALOG_H
 
 #include "carobtrail/kernel.h"
+#include "carobtrail/reader_table.h"
 #include "carobtrail/route_table.h"
 #include "carobtrail/upstream_table.h"
 
@@ -19,7 +20,11 @@
 	CAROB_CATALOG_UPSTREAM_REMOVED,
 	CAROB_CATALOG_CONFIG,
 	CAROB_CATALOG_CONFIG_UNUSABLE, /* a configuration that can't be parsed */
-	CAROB_CATALOG_OTHER,	       /* an item that instances ignore */
+	CAROB_CATALOG_READER,	       /* a reader's entry */
+	/** A reader's entry that was removed or can't be parsed; of `reader`,
+	 * zone and slot are set. */
+	CAROB_CATALOG_READER_REMOVED,
+	CAROB_CATALOG_OTHER, /* an item that instances ignore */
 } carob_catalog_change_kind_t;
 
 /**
@@ -57,9 +62,20 @@
 	union {
 		carob_upstream_entry_t upstream;
 		carob_catalog_config_t config;
+		carob_reader_entry_t reader;
 	};
 } carob_catalog_change_t;
 
+/** How soon a source may be read again after it returned changes. */
+typedef enum carob_catalog_pace {
+	/** After a pause, so that one call reads a burst of changes. */
+	CAROB_CATALOG_PACE_NORMAL,
+	/** After a short pause: other instances read from this one. */
+	CAROB_CATALOG_PACE_READER,
+	/** At once: the read costs the platform nothing. */
+	CAROB_CATALOG_PACE_RELAYED,
+} carob_catalog_pace_t;
+
 /** Result of a read; borrowed during the callback. */
 typedef struct carob_catalog_reply {
 	/**
@@ -79,6 +95,10 @@
 	uint64_t era;
 	/** On failure: a response had begun, but is too long to be read. */
 	bool partial;
+	/** Time since the platform confirmed the response, in milliseconds; 0
+	 * if it comes from the platform itself. */
+	uint32_t age_ms;
+	carob_catalog_pace_t pace;
 	uint64_t revision;    /* the next watch continues from here */
 	bool truncated;	      /* another page follows */
 	carob_str_t last_key; /* the next page begins after this key */
@@ -138,6 +158,7 @@
 	carob_catalog_source_t *source;
 	carob_route_table_t *routes;
 	carob_upstream_table_t *upstreams;
+	carob_reader_table_t *readers; /* NULL: readers are ignored */
 	/**
 	 * Maximum age of the cached state, in milliseconds. Within this time
 	 * an unresponsive connection must be given up and the changes be read
--- a/include/carobtrail/log.h
+++ b/include/carobtrail/log.h
@@ -47,6 +47,12 @@
 	  "all upstreams and the configuration were read")                     \
 	X(CAROB_EV_CHANGES_LOST, 2014, WARN,                                   \
 	  "changes cannot be read: the whole catalogue is read again")         \
+	X(CAROB_EV_SOURCE_CHANGED, 2020, INFO,                                 \
+	  "changes are read from a reader of the zone")                        \
+	X(CAROB_EV_READER_FAILED, 2021, WARN,                                  \
+	  "a reader does not answer or is out of date: the platform is read")  \
+	X(CAROB_EV_READER_ROLE, 2022, INFO,                                    \
+	  "this instance began or ended reading for its zone")                 \
 	X(CAROB_EV_STORE_ERA, 2015, WARN,                                      \
 	  "the platform came back from a copy: all is read again")             \
 	X(CAROB_EV_ERA_UNREADABLE, 2016, WARN,                                 \
--- a/src/flow/catalog.c
+++ b/src/flow/catalog.c
@@ -22,7 +22,8 @@
 #define WATCH_TIMEOUT_MS(contact_ms) ((contact_ms)*7 / 8)
 /* Pause after a watch that returned changes. Changes come in bursts and each
  * call is a cost, so the pause lets one call read a whole burst. */
-#define BURST_PAUSE_MS(apply_ms) ((apply_ms)*2 / 5)
+#define BURST_PAUSE_MS(apply_ms)	((apply_ms)*2 / 5)
+#define READER_BURST_PAUSE_MS(apply_ms) ((apply_ms) / 6)
 /* A watch returns some 500 changes at most. After this many, more may wait, and
  * are read at once. */
 #define BACKLOG_CHANGES 250
@@ -69,8 +70,12 @@
 {
 	catalog->reading = READ_PAGE;
 	catalog->counters.lists++;
-	if (catalog->page_after.len == 0)
+	if (catalog->page_after.len == 0) {
 		carob_upstream_table_begin_listing(catalog->options.upstreams);
+		if (catalog->options.readers)
+			carob_reader_table_begin_listing(
+				catalog->options.readers);
+	}
 	catalog->options.source->ops->list(catalog->options.source,
 					   &catalog->reader,
 					   carob_buf_view(&catalog->page_after),
@@ -248,6 +253,19 @@
 	case CAROB_CATALOG_CONFIG_UNUSABLE:
 		apply_unusable(catalog, change);
 		break;
+	case CAROB_CATALOG_READER:
+		if (catalog->options.readers)
+			carob_reader_table_put(catalog->options.readers,
+					       &change->reader,
+					       change->revision);
+		break;
+	case CAROB_CATALOG_READER_REMOVED:
+		if (catalog->options.readers)
+			carob_reader_table_remove(catalog->options.readers,
+						  change->reader.zone,
+						  change->reader.slot,
+						  change->revision);
+		break;
 	case CAROB_CATALOG_OTHER:
 		break;
 	}
@@ -295,9 +313,10 @@
 			      catalog->recovered_ns + LAPSE_GRACE_NS);
 }
 
-static void record_response(carob_catalog_t *catalog)
+static void record_response(carob_catalog_t *catalog,
+			    const carob_catalog_reply_t *reply)
 {
-	uint64_t now = now_ns(catalog);
+	uint64_t confirmed = now_ns(catalog) - reply->age_ms * CAROB_NS_PER_MS;
 
 	if (catalog->failures > 0) {
 		begin_lapse_grace(catalog);
@@ -307,7 +326,8 @@
 					  carob_catalog_age_ms(catalog)));
 	}
 	catalog->failures = 0;
-	catalog->responded_ns = now;
+	if (confirmed > catalog->responded_ns)
+		catalog->responded_ns = confirmed;
 }
 
 static void on_page(carob_catalog_t *catalog,
@@ -327,6 +347,9 @@
 					 catalog->page_revision,
 					 state_of_missing(catalog),
 					 now_ns(catalog));
+	if (catalog->options.readers)
+		carob_reader_table_end_listing(catalog->options.readers,
+					       catalog->page_revision);
 	catalog->revision = catalog->page_revision;
 	catalog->listed = true;
 	check_complete(catalog);
@@ -337,6 +360,14 @@
 	read_changes(catalog);
 }
 
+static uint64_t burst_pause_ms(const carob_catalog_t *catalog,
+			       carob_catalog_pace_t pace)
+{
+	if (pace == CAROB_CATALOG_PACE_READER)
+		return READER_BURST_PAUSE_MS(catalog->options.apply_ms);
+	return BURST_PAUSE_MS(catalog->options.apply_ms);
+}
+
 static void on_changes(carob_catalog_t *catalog,
 		       const carob_catalog_reply_t *reply, bool was_probe)
 {
@@ -348,9 +379,8 @@
 	/* No pause while the instance is starting and its state is still
 	 * incomplete. */
 	if (reply->count > 0 && reply->count < BACKLOG_CHANGES && !was_probe &&
-	    catalog->complete)
-		schedule_read(catalog,
-			      BURST_PAUSE_MS(catalog->options.apply_ms));
+	    catalog->complete && reply->pace != CAROB_CATALOG_PACE_RELAYED)
+		schedule_read(catalog, burst_pause_ms(catalog, reply->pace));
 	else
 		read_changes(catalog);
 }
@@ -437,6 +467,8 @@
 	catalog->era = era;
 	catalog->listed = false;
 	carob_upstream_table_begin_era(catalog->options.upstreams);
+	if (catalog->options.readers)
+		carob_reader_table_begin_era(catalog->options.readers);
 	begin_lapse_grace(catalog);
 }
 
@@ -487,7 +519,7 @@
 		on_failure(catalog, reply);
 		return;
 	}
-	record_response(catalog);
+	record_response(catalog, reply);
 	restart_listing(catalog);
 }
 
@@ -513,7 +545,7 @@
 		on_failure(catalog, reply);
 		return;
 	}
-	record_response(catalog);
+	record_response(catalog, reply);
 	if (reading == READ_PAGE)
 		on_page(catalog, reply);
 	else
--- a/src/flowd/explain.c
+++ b/src/flowd/explain.c
@@ -80,7 +80,7 @@
 				   : json_null();
 
 	return json_pack(
-		"{s:s, s:s, s:o, s:b, s:I, s:I, s:I, s:I, s:I}", "verdict",
+		"{s:s, s:s, s:o, s:b, s:I, s:I, s:I, s:I, s:I, s:s}", "verdict",
 		verdicts[explanation->verdict], "decision",
 		carob_steer_reason_text(explanation->reason), "upstream",
 		upstream, "remembered", explanation->remembered, "idle_ms",
@@ -88,7 +88,8 @@
 		(json_int_t)explanation->config_version, "era",
 		(json_int_t)carob_catalog_era(source->catalog), "revision",
 		(json_int_t)carob_catalog_revision(source->catalog), "age_ms",
-		(json_int_t)carob_catalog_age_ms(source->catalog));
+		(json_int_t)carob_catalog_age_ms(source->catalog), "read_from",
+		source->read_from);
 }
 
 static int append_json(carob_buf_t *out, json_t *json)
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -10,6 +10,7 @@
 #include "net/program.h"
 #include "platform/calls.h"
 #include "platform/store.h"
+#include "relay.h"
 #include "settings.h"
 
 #include <string.h>
@@ -41,7 +42,9 @@
 	carob_upstream_table_t upstreams;
 	carob_link_meter_t link;
 	carob_steering_t *steering;
+	carob_reader_table_t readers;
 	platform_store_t *store;
+	flowd_relay_t *relay; /* NULL: all is read from the platform */
 	carob_catalog_t *catalog;
 	flowd_frontend_t *frontend;
 	flowd_http_t *readiness;
@@ -104,6 +107,7 @@
 		.routes = &self->routes,
 		.frontend = self->frontend,
 		.hub = self->program.hub,
+		.relay = flowd_relay_status(self->relay),
 		.link_congested = carob_link_meter_congested(
 			&self->link, carob_kernel_now_ns(self->program.kernel)),
 	};
@@ -120,6 +124,7 @@
 		.steering = self->steering,
 		.catalog = self->catalog,
 		.upstreams = &self->upstreams,
+		.read_from = flowd_relay_status(self->relay).source,
 	};
 
 	return flowd_explain_write(body, &source, query) == 0 ? 200 : 400;
@@ -175,6 +180,10 @@
 	detect_pause(self, now);
 	carob_steering_sweep(self->steering);
 	stop_if_drained(self, now);
+	if (self->relay)
+		flowd_relay_check(self->relay, self->upstreams.count,
+				  !self->draining && carob_catalog_complete(
+							     self->catalog));
 	if (++self->ticks % SETTINGS_CHECK_TICKS == 0)
 		carob_program_reload_if_changed(&self->program);
 	(void)carob_timer_arm(self->program.kernel, &self->tick, now + TICK_NS);
@@ -189,6 +198,8 @@
 		return;
 	}
 	self->draining = true;
+	if (self->relay)
+		flowd_relay_drain(self->relay);
 	self->drain_start_ns = carob_kernel_now_ns(program->kernel);
 	CAROB_LOG(CAROB_EV_DRAINING,
 		  CAROB_FIELD_U64("flows",
@@ -228,9 +239,26 @@
 	log_settings(&settings);
 	carob_catalog_set_deadlines(self->catalog, settings.contact_ms,
 				    settings.apply_ms);
+	if (self->relay)
+		flowd_relay_set_apply_ms(self->relay, settings.apply_ms);
 	return 0;
 }
 
+static int start_relay(flowd_t *self)
+{
+	flowd_relay_options_t options = {
+		.kernel = self->program.kernel,
+		.base = carob_loop_base(self->program.loop),
+		.store = self->store,
+		.readers = &self->readers,
+		.settings = &self->settings,
+	};
+
+	if (!self->settings.relay.family)
+		return 0;
+	return flowd_relay_new(&self->relay, &options);
+}
+
 static int start_steering(flowd_t *self)
 {
 	carob_steering_options_t options = CAROB_STEERING_OPTIONS_INIT;
@@ -264,10 +292,14 @@
 				   carob_loop_base(self->program.loop),
 				   &self->settings.store,
 				   &self->settings.packets);
+	if (!error)
+		error = start_relay(self);
 	if (error)
 		return error;
 	options.kernel = self->program.kernel;
-	options.source = platform_store_source(self->store);
+	options.source = self->relay ? flowd_relay_source(self->relay)
+				     : platform_store_source(self->store);
+	options.readers = self->relay ? &self->readers : NULL;
 	options.routes = &self->routes;
 	options.upstreams = &self->upstreams;
 	options.contact_ms = self->settings.contact_ms;
@@ -333,6 +365,7 @@
 	flowd_http_free(self->readiness);
 	flowd_frontend_free(self->frontend);
 	carob_catalog_free(self->catalog);
+	flowd_relay_free(self->relay);
 	platform_store_free(self->store);
 	carob_steering_free(self->steering);
 	carob_route_table_dispose(&self->routes);
--- a/src/flowd/metrics.h
+++ b/src/flowd/metrics.h
@@ -8,6 +8,7 @@
 #include "carobtrail/catalog.h"
 #include "carobtrail/steering.h"
 #include "frontend.h"
+#include "relay.h"
 
 /** The objects whose metrics are written. */
 typedef struct flowd_metrics_source {
@@ -17,6 +18,7 @@
 	const carob_route_table_t *routes;
 	const flowd_frontend_t *frontend;
 	const carob_udp_hub_t *hub;
+	flowd_relay_status_t relay;
 	bool link_congested;
 } flowd_metrics_source_t;
 
--- a/src/flowd/settings.c
+++ b/src/flowd/settings.c
@@ -14,11 +14,16 @@
 #define STOP_GRACE_S_MAX     3600
 #define MS_PER_S	     1000
 #define LINK_MBPS_MAX	     1000000
+/* With fewer upstreams the platform serves all instances at little cost, and
+ * the leases of readers would cost as much as they save. */
+#define RELAY_UPSTREAMS_DEFAULT 100
+#define RELAY_UPSTREAMS_MAX	1000000
 
 static const char *const keys[] = {
-	"instance", "zone",	    "packets",	   "readiness",
-	"metrics",  "store",	    "first_start", "contact_ms",
-	"apply_ms", "stop_grace_s", "log_level",   "link_mbps",
+	"instance",	   "zone",	   "packets",	  "readiness",
+	"metrics",	   "store",	   "first_start", "contact_ms",
+	"apply_ms",	   "stop_grace_s", "log_level",	  "relay",
+	"relay_upstreams", "link_mbps",
 };
 
 static int read_identity(flowd_settings_t *out, const carob_json_node_t *root)
@@ -44,6 +49,20 @@
 		error = carob_json_get_addr(&out->store, root, "store");
 	if (!error && carob_json_find(&node, root, "metrics"))
 		error = carob_json_addr(&out->metrics, &node);
+	if (!error && carob_json_find(&node, root, "relay"))
+		error = carob_json_addr(&out->relay, &node);
+	return error;
+}
+
+static int read_relay_upstreams(flowd_settings_t *out,
+				const carob_json_node_t *root)
+{
+	uint64_t upstreams = RELAY_UPSTREAMS_DEFAULT;
+	int error = carob_json_get_u64_or(&upstreams, root, "relay_upstreams",
+					  1, RELAY_UPSTREAMS_MAX,
+					  RELAY_UPSTREAMS_DEFAULT);
+
+	out->relay_upstreams = (uint32_t)upstreams;
 	return error;
 }
 
@@ -89,6 +108,8 @@
 		error = read_identity(out, root);
 	if (!error)
 		error = read_addresses(out, root);
+	if (!error)
+		error = read_relay_upstreams(out, root);
 	if (!error)
 		error = read_durations(out, root);
 	if (!error)
--- a/tests/flowd/settings_test.c
+++ b/tests/flowd/settings_test.c
@@ -27,6 +27,13 @@
 	 "\"packets\":\"10.1.0.10:8172\",\"readiness\":\"10.1.0.10:8167\","
 	 "\"store\":\"10.200.1.7:8169\"}",
 	 0, NULL},
+	{"{" REQUIRED ",\"relay\":\"10.1.0.10:7720\",\"relay_upstreams\":1}", 0,
+	 NULL},
+	{"{" REQUIRED ",\"relay\":7720}", CAROB_EINVALID, "relay"},
+	{"{" REQUIRED ",\"relay_upstreams\":0}", CAROB_EINVALID,
+	 "relay_upstreams"},
+	{"{" REQUIRED ",\"relay_upstreams\":1.5}", CAROB_EINVALID,
+	 "relay_upstreams"},
 	{"{" REQUIRED ",\"link_mbps\":20.5}", 0, NULL},
 	{"{" REQUIRED ",\"link_mbps\":-1}", CAROB_EINVALID, "link_mbps"},
 	{"{" REQUIRED ",\"link_mbps\":\"20\"}", CAROB_EINVALID, "link_mbps"},
