readers: a process replaces the entry of its predecessor at once

Their entries, with the old key, stand until the lease ends, up to 6 s, and nobody can claim the slot before.

Change: an instance that finds its own name in the slot claims it with the entry's revision, at once.

Test: flow-reader-claim, 'killed and started again', fails without it.

--- a/include/carobtrail/reader_claim.h
+++ b/include/carobtrail/reader_claim.h
@@ -2,8 +2,10 @@
  * @file reader_claim.h
  * Decides whether this instance reads the platform for its zone: claims a free
  * slot under a lease, renews the lease, and gives the slot up when it is lost.
- * Claims are spread in time at random, so that few instances try at once. Two
- * readers too many, or none for a moment, cost calls and no guarantee.
+ * A process that finds the entry of its predecessor replaces it at once: nobody
+ * can read from it any more, and its lease may go on for seconds. Claims are
+ * spread in time at random, so that few instances try at once. Two readers too
+ * many, or none for a moment, cost calls and no guarantee.
  */
 #ifndef CAROBTRAIL_READER_CLAIM_H
 #define CAROBTRAIL_READER_CLAIM_H
@@ -30,9 +32,11 @@
 	/** Begins a lease. */
 	void (*begin)(carob_lease_store_t *store, carob_lease_call_t *call,
 		      uint32_t ttl_ms);
-	/** Writes a reader's entry under a lease, if its slot is free. */
+	/** Writes a reader's entry under a lease, if the entry in its slot has
+	 * the revision `expected`, 0: if the slot is free. */
 	void (*claim)(carob_lease_store_t *store, carob_lease_call_t *call,
-		      const carob_reader_entry_t *entry, uint64_t lease);
+		      const carob_reader_entry_t *entry, uint64_t lease,
+		      uint64_t expected);
 	/** Renews a lease. */
 	void (*renew)(carob_lease_store_t *store, carob_lease_call_t *call,
 		      uint64_t lease);
--- a/src/flow/reader_claim.c
+++ b/src/flow/reader_claim.c
@@ -81,9 +81,30 @@
 				       claim->lease);
 }
 
+/* Returns the slot that this instance may claim, or CAROB_READER_SLOTS: one
+ * that an earlier process of the instance holds, or a free one. */
+static size_t claimable_slot(const carob_reader_claim_t *claim)
+{
+	size_t slot = carob_reader_table_slot_of(claim->options.readers,
+						 claim->options.self.name);
+
+	if (slot < CAROB_READER_SLOTS)
+		return slot;
+	return carob_reader_table_free_slot(claim->options.readers);
+}
+
+static uint64_t expected_revision(const carob_reader_claim_t *claim,
+				  size_t slot)
+{
+	const carob_reader_slot_t *reader =
+		&claim->options.readers->slots[slot];
+
+	return reader->used ? reader->revision : 0;
+}
+
 static void on_begun(carob_reader_claim_t *claim, int result, uint64_t lease)
 {
-	size_t slot = carob_reader_table_free_slot(claim->options.readers);
+	size_t slot = claimable_slot(claim);
 
 	if (result) {
 		become_idle(claim, "no lease");
@@ -97,7 +118,8 @@
 	claim->options.self.slot = (uint32_t)slot;
 	claim->state = CLAIM_CLAIMING;
 	claim->options.store->ops->claim(claim->options.store, &claim->call,
-					 &claim->options.self, lease);
+					 &claim->options.self, lease,
+					 expected_revision(claim, slot));
 }
 
 static void hold(carob_reader_claim_t *claim)
@@ -162,8 +184,7 @@
 		claim->state = CLAIM_RENEWING;
 		store->ops->renew(store, &claim->call, claim->lease);
 	} else if (claim->state == CLAIM_DELAYED && claim->wanted &&
-		   carob_reader_table_free_slot(claim->options.readers) <
-			   CAROB_READER_SLOTS) {
+		   claimable_slot(claim) < CAROB_READER_SLOTS) {
 		claim->state = CLAIM_BEGINNING;
 		store->ops->begin(store, &claim->call, TTL_MS);
 	} else if (claim->state == CLAIM_DELAYED) {
@@ -186,6 +207,8 @@
 
 void carob_reader_claim_check(carob_reader_claim_t *claim, bool wanted)
 {
+	size_t slot;
+
 	claim->wanted = wanted;
 	if (claim->is_reader) {
 		if (!wanted && claim->state == CLAIM_HOLDING)
@@ -195,12 +218,15 @@
 		return;
 	}
 	if (!wanted || claim->state != CLAIM_IDLE ||
-	    now_ns(claim) < claim->retry_ns ||
-	    carob_reader_table_free_slot(claim->options.readers) ==
-		    CAROB_READER_SLOTS)
+	    now_ns(claim) < claim->retry_ns)
+		return;
+	slot = claimable_slot(claim);
+	if (slot == CAROB_READER_SLOTS)
 		return;
 	claim->state = CLAIM_DELAYED;
-	arm(claim, carob_rng_below(&claim->rng, CLAIM_DELAY_MS));
+	arm(claim, expected_revision(claim, slot) > 0
+			   ? 0
+			   : carob_rng_below(&claim->rng, CLAIM_DELAY_MS));
 }
 
 bool carob_reader_claim_is_reader(const carob_reader_claim_t *claim)
--- a/tests/flow/reader_claim_test.c
+++ b/tests/flow/reader_claim_test.c
@@ -88,11 +88,15 @@
 }
 
 static void store_claim(carob_lease_store_t *store, carob_lease_call_t *call,
-			const carob_reader_entry_t *entry, uint64_t lease)
+			const carob_reader_entry_t *entry, uint64_t lease,
+			uint64_t expected)
 {
 	instance_t *instance = (instance_t *)store;
 	simulation_t *simulation = instance->simulation;
-	bool taken = simulation->holder_lease != 0;
+	uint64_t revision = simulation->holder_lease
+				    ? simulation->stored.slots[0].revision
+				    : 0;
+	bool taken = revision != expected;
 
 	simulation->writes++;
 	if (!taken && !instance->cut) {
@@ -246,6 +250,14 @@
 	reader->cut = true;
 }
 
+static void restart_reader(simulation_t *simulation, instance_t *reader)
+{
+	size_t index = (size_t)(reader - simulation->instances);
+
+	stop_instance(reader);
+	start_instance(simulation, index);
+}
+
 static void kill_all(simulation_t *simulation, instance_t *reader)
 {
 	(void)reader;
@@ -262,6 +274,7 @@
 	uint64_t recovered_ms;
 } fault_cases[] = {
 	{"killed", kill_reader, 15000},
+	{"killed and started again", restart_reader, 1500},
 	{"cut off from the store", cut_reader, 15000},
 	{"its entry is taken away", revoke, 10000},
 	{"all instances are killed", kill_all, 15000},
