--- a/tests/emulator/tcp_relay_test.c
+++ b/tests/emulator/tcp_relay_test.c
@@ -10,10 +10,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define LISTEN "127.0.4.1:17001"
-#define TARGET "127.0.4.2:17002"
-#define CLIENT "127.0.4.3:1" /* the port is chosen by the system */
-#define ROUNDS 50	     /* of the event loop, until all data has passed */
+/* Hosts of an address in 127/8 that depends on the process, so that two runs of
+ * the test do not disturb each other. */
+#define LISTEN_HOST 1
+#define TARGET_HOST 2
+#define CLIENT_HOST 3
+#define PORT	    17001
+#define ROUNDS	    50 /* of the event loop, until all data has passed */
 
 /* A connection through a relay: its two ends and the fabric's links. */
 typedef struct fixture {
@@ -24,12 +27,24 @@
 	int server;
 } fixture_t;
 
-static carob_addr_t parse_addr(const char *text)
+static carob_addr_t local_addr(uint8_t host)
 {
-	carob_addr_t out = {0};
+	return (carob_addr_t){
+		.family = 4,
+		.port = PORT,
+		.ip = {127, (uint8_t)(1 + getpid() / 250 % 60),
+		       (uint8_t)(getpid() % 250), host},
+	};
+}
+
+static void add_group(fabric_links_t *links, carob_str_t name, uint8_t host)
+{
+	carob_addr_t addr = local_addr(host);
+	char ip[INET_ADDRSTRLEN] = "";
 
-	CU_ASSERT_EQUAL_FATAL(carob_addr_parse(&out, carob_str_from(text)), 0);
-	return out;
+	(void)inet_ntop(AF_INET, addr.ip, ip, sizeof(ip));
+	CU_ASSERT_EQUAL(
+		fabric_links_add_to_group(links, name, carob_str_from(ip)), 0);
 }
 
 static int open_socket(carob_addr_t addr)
@@ -66,29 +81,23 @@
 
 static void fixture_init(fixture_t *fixture)
 {
-	carob_addr_t listen_addr = parse_addr(LISTEN);
-	carob_addr_t target = parse_addr(TARGET);
+	carob_addr_t listen_addr = local_addr(LISTEN_HOST);
+	carob_addr_t target = local_addr(TARGET_HOST);
 	struct sockaddr_storage sa;
 	socklen_t len = carob_sockaddr_from(&sa, &listen_addr);
-	carob_addr_t client = parse_addr(CLIENT);
+	carob_addr_t client = local_addr(CLIENT_HOST);
 	int listener = open_socket(target);
 
 	CU_ASSERT_EQUAL_FATAL(listen(listener, 1), 0);
 	fixture->base = event_base_new();
 	CU_ASSERT_EQUAL_FATAL(fabric_links_new(&fixture->links, 1), 0);
-	CU_ASSERT_EQUAL(fabric_links_add_to_group(fixture->links,
-						  CAROB_STR("client"),
-						  CAROB_STR("127.0.4.3")),
-			0);
-	CU_ASSERT_EQUAL(fabric_links_add_to_group(fixture->links,
-						  CAROB_STR("server"),
-						  CAROB_STR("127.0.4.2")),
-			0);
+	add_group(fixture->links, CAROB_STR("client"), CLIENT_HOST);
+	add_group(fixture->links, CAROB_STR("server"), TARGET_HOST);
 	CU_ASSERT_EQUAL_FATAL(tcp_relay_open(&fixture->relay, fixture->base,
 					     fixture->links, &listen_addr,
 					     &target),
 			      0);
-	client.port = 0;
+	client.port = 0; /* chosen by the system */
 	fixture->client = open_socket(client);
 	(void)connect(fixture->client, (struct sockaddr *)&sa, len);
 	run_loop(fixture);
