--- a/include/carobtrail/admission.h
+++ b/include/carobtrail/admission.h
@@ -26,6 +26,7 @@
 #define CAROBTRAIL_ADMISSION_H
 
 #include "carobtrail/limiter.h"
+#include "carobtrail/load_view.h"
 #include "carobtrail/upstream_table.h"
 
 /** What happens to a new flow. */
@@ -54,6 +55,8 @@
 	carob_name_id_t home_zone;
 	bool urgent; /* its route is not of the lowest priority configured */
 	uint8_t syn_copy; /* how often the caller has sent the SYN before */
+	const carob_load_view_t *view; /* NULL: load is not shared */
+	uint64_t now_ns;
 } carob_admission_query_t;
 
 /** The load and the limit that an admission decision compares. */
--- a/include/carobtrail/placement.h
+++ b/include/carobtrail/placement.h
@@ -18,6 +18,7 @@
 #ifndef CAROBTRAIL_PLACEMENT_H
 #define CAROBTRAIL_PLACEMENT_H
 
+#include "carobtrail/load_view.h"
 #include "carobtrail/upstream_table.h"
 
 /** A flow to place. */
@@ -28,6 +29,7 @@
 	/** Upstream that was just tried, or CAROB_UPSTREAM_NONE. */
 	carob_upstream_index_t except;
 	uint64_t now_ns;
+	const carob_load_view_t *view; /* NULL: load is not shared */
 } carob_placement_query_t;
 
 /**
--- a/include/carobtrail/steering.h
+++ b/include/carobtrail/steering.h
@@ -83,6 +83,8 @@
 	carob_str_t home_zone;
 	/** Meter of the own link, borrowed; NULL: it is never congested. */
 	const carob_link_meter_t *link;
+	/** Load of other instances, borrowed; NULL: load is not shared. */
+	const carob_load_view_t *load_view;
 } carob_steering_options_t;
 
 #define CAROB_STEERING_OPTIONS_VERSION 1
--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -72,6 +72,10 @@
 	uint64_t evidence_ns; /* time of the last such retransmission */
 	/** Until then, new flows are placed elsewhere if possible. */
 	uint64_t avoid_until_ns;
+
+	/** What other instances report of it; see load_view.h. */
+	float others_load; /* their requests in progress, a time average */
+	float others_late; /* share of their answers that were late or missing */
 } carob_upstream_t;
 
 /** All upstreams; zero-initialise it. */
--- a/src/flow/steering.c
+++ b/src/flow/steering/steering.c
@@ -1,4 +1,4 @@
-#include "flow/steering_priv.h"
+#include "flow/steering/steering_priv.h"
 
 #include "carobtrail/errors.h"
 #include "carobtrail/failure_detector.h"
@@ -56,6 +56,7 @@
 		.flow_hash = hash,
 		.except = except,
 		.now_ns = carob_steering_now_ns(steering),
+		.view = steering->load_view,
 	};
 
 	return carob_placement_choose(steering->upstreams, &query);
@@ -72,6 +73,8 @@
 		.urgent = route->priority <
 			  steering->routes->config.least_priority,
 		.syn_copy = packet->syn_copy,
+		.view = steering->load_view,
+		.now_ns = carob_steering_now_ns(steering),
 	};
 
 	carob_admission_measure(&out->load, &steering->admission,
@@ -285,6 +288,7 @@
 	steering->routes = options->routes;
 	steering->upstreams = options->upstreams;
 	steering->link = options->link;
+	steering->load_view = options->load_view;
 	steering->silent_upstream = CAROB_UPSTREAM_NONE;
 	error = carob_name_table_add(&steering->home_zone,
 				     &options->upstreams->zones,
--- a/src/flow/steering_explain.c
+++ b/src/flow/steering/steering_explain.c
@@ -1,4 +1,4 @@
-#include "flow/steering_priv.h"
+#include "flow/steering/steering_priv.h"
 
 static void set_explanation(carob_steer_explanation_t *out,
 			    const carob_steering_t *steering,
--- a/src/flow/steering_flow.c
+++ b/src/flow/steering/steering_flow.c
@@ -1,5 +1,5 @@
 /* State of single flows, and how packets change it. */
-#include "flow/steering_priv.h"
+#include "flow/steering/steering_priv.h"
 
 #include "carobtrail/failure_detector.h"
 
--- a/src/flow/steering_priv.h
+++ b/src/flow/steering/steering_priv.h
@@ -4,8 +4,8 @@
  * (steering.c), state of single flows (steering_flow.c), operations on many
  * flows (steering_sweep.c) and explanations (steering_explain.c).
  */
-#ifndef CAROB_FLOW_STEERING_PRIV_H
-#define CAROB_FLOW_STEERING_PRIV_H
+#ifndef CAROB_FLOW_STEERING_STEERING_PRIV_H
+#define CAROB_FLOW_STEERING_STEERING_PRIV_H
 
 #include "carobtrail/steering.h"
 
@@ -16,7 +16,8 @@
 	const carob_route_table_t *routes;
 	carob_upstream_table_t *upstreams;
 	carob_name_id_t home_zone;
-	const carob_link_meter_t *link; /* NULL: none */
+	const carob_link_meter_t *link;	    /* NULL: none */
+	const carob_load_view_t *load_view; /* NULL: load is not shared */
 	carob_flow_table_t flows;
 	carob_admission_t admission;
 	/** Upstream whose flows are to be reset, or CAROB_UPSTREAM_NONE. */
--- a/src/flow/steering_sweep.c
+++ b/src/flow/steering/steering_sweep.c
@@ -1,5 +1,5 @@
 /* Operations on many flows: resets and expiry. */
-#include "flow/steering_priv.h"
+#include "flow/steering/steering_priv.h"
 
 #include "carobtrail/log.h"
 
