relay: count a reader's responses on its link, and prefer fast links

A ring of packets in the flow showed why: three transmissions of a request in a row came to the instance and never to the upstream. The instance was the reader of its zone, on a link of 10 Mbit/s, and had just sent 16 KB of changes to each of 45 instances: 0.6 s of its link, in which callers' packets were lost. The link meter counted only the packets of callers, so that the missing answers counted as signs of a silent upstream.

The server of the relay now counts what it sends on the meter, and passes a body on only if the link carries it to all that wait within 0.2 s; the others read the store. Instances with a fast link claim the reader's slot first.

--- a/include/carobtrail/link_meter.h
+++ b/include/carobtrail/link_meter.h
@@ -24,10 +24,19 @@
  * and the link never counts as congested. */
 void carob_link_meter_init(carob_link_meter_t *meter, double mbps);
 
-/** Counts a packet that is sent over the link, with its headers. */
-void carob_link_meter_send(carob_link_meter_t *meter, uint64_t bytes,
+/**
+ * Counts what is sent over the link, with its headers.
+ *
+ * @return whether the link has become congested by it
+ */
+bool carob_link_meter_send(carob_link_meter_t *meter, uint64_t bytes,
 			   uint64_t now_ns);
 
+/** @return whether the link can send this much within a time; always true if
+ * the rate is not known */
+bool carob_link_meter_can_send(const carob_link_meter_t *meter, uint64_t bytes,
+			       uint64_t within_ns);
+
 /** @return whether the link is congested, or was until a moment ago */
 bool carob_link_meter_congested(const carob_link_meter_t *meter,
 				uint64_t now_ns);
--- a/include/carobtrail/reader_claim.h
+++ b/include/carobtrail/reader_claim.h
@@ -64,6 +64,10 @@
 	const carob_reader_table_t *readers;
 	carob_reader_role_t *role;
 	carob_reader_entry_t self; /* without the slot; strings are borrowed */
+	/** Rate of the link of this instance, in Mbit/s; 0: not known. A reader
+	 * sends each change to all instances of its zone, so instances with a
+	 * fast link claim a free slot before the others. */
+	double link_mbps;
 	uint64_t seed;
 } carob_reader_claim_options_t;
 
--- a/src/flow/load/link_meter.c
+++ b/src/flow/load/link_meter.c
@@ -18,11 +18,13 @@
 						      CAROB_NS_PER_S};
 }
 
-void carob_link_meter_send(carob_link_meter_t *meter, uint64_t bytes,
+bool carob_link_meter_send(carob_link_meter_t *meter, uint64_t bytes,
 			   uint64_t now_ns)
 {
+	bool was_congested = carob_link_meter_congested(meter, now_ns);
+
 	if (meter->bytes_per_ns <= 0)
-		return;
+		return false;
 	meter->queued_bytes -=
 		(double)(now_ns - meter->updated_ns) * meter->bytes_per_ns;
 	if (meter->queued_bytes < 0)
@@ -30,9 +32,17 @@
 	meter->queued_bytes += (double)bytes;
 	meter->updated_ns = now_ns;
 	if (meter->queued_bytes <= QUEUE_NS_MAX * meter->bytes_per_ns)
-		return;
+		return false;
 	meter->congested_ns = now_ns;
 	meter->has_been_congested = true;
+	return !was_congested;
+}
+
+bool carob_link_meter_can_send(const carob_link_meter_t *meter, uint64_t bytes,
+			       uint64_t within_ns)
+{
+	return meter->bytes_per_ns <= 0 ||
+	       (double)bytes <= meter->bytes_per_ns * (double)within_ns;
 }
 
 bool carob_link_meter_congested(const carob_link_meter_t *meter,
--- a/src/flow/sources/reader_claim.c
+++ b/src/flow/sources/reader_claim.c
@@ -14,6 +14,12 @@
  * claim within about 3 s; in a zone of twenty, two or three more try until
  * then. */
 #define CLAIM_DELAY_MS 20000
+/* Instances with a fast link claim within this time, and those with a slow one
+ * after it. It is longer than the time in which others see a claim. */
+#define CLAIM_DELAY_FAST_MS 5000
+/* A link of this rate sends 16 KB, the longest body that is relayed, to fifty
+ * instances in 0.07 s. */
+#define FAST_LINK_MBPS 100
 /* After a failure the slot is looked at again no sooner. */
 #define RETRY_MS 2000
 
@@ -205,6 +211,17 @@
 		end_lease(claim, "entry removed");
 }
 
+/* Returns the random time after which this instance claims a free slot. */
+static uint64_t claim_delay_ms(carob_reader_claim_t *claim)
+{
+	double mbps = claim->options.link_mbps;
+
+	if (mbps >= FAST_LINK_MBPS)
+		return carob_rng_below(&claim->rng, CLAIM_DELAY_FAST_MS);
+	return (mbps > 0 ? CLAIM_DELAY_FAST_MS : 0) +
+	       carob_rng_below(&claim->rng, CLAIM_DELAY_MS);
+}
+
 void carob_reader_claim_check(carob_reader_claim_t *claim, bool wanted)
 {
 	size_t slot;
@@ -224,9 +241,8 @@
 	if (slot == CAROB_READER_SLOTS)
 		return;
 	claim->state = CLAIM_DELAYED;
-	arm(claim, expected_revision(claim, slot) > 0
-			   ? 0
-			   : carob_rng_below(&claim->rng, CLAIM_DELAY_MS));
+	arm(claim,
+	    expected_revision(claim, slot) > 0 ? 0 : claim_delay_ms(claim));
 }
 
 bool carob_reader_claim_is_reader(const carob_reader_claim_t *claim)
--- a/src/flowd/frontend.c
+++ b/src/flowd/frontend.c
@@ -96,10 +96,8 @@
 static void count_sent(flowd_frontend_t *frontend, uint64_t bytes)
 {
 	uint64_t now = carob_clock_now_ns(frontend->clock);
-	bool was_congested = carob_link_meter_congested(frontend->link, now);
 
-	carob_link_meter_send(frontend->link, bytes, now);
-	if (!was_congested && carob_link_meter_congested(frontend->link, now))
+	if (carob_link_meter_send(frontend->link, bytes, now))
 		CAROB_LOG(
 			CAROB_EV_LINK_CONGESTED,
 			CAROB_FIELD_U64("queued_bytes",
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -252,6 +252,7 @@
 		.store = self->store,
 		.readers = &self->readers,
 		.settings = &self->settings,
+		.link = &self->link,
 	};
 
 	if (!self->settings.relay.family)
--- a/src/flowd/relay.c
+++ b/src/flowd/relay.c
@@ -70,8 +70,15 @@
 {
 	const flowd_relay_options_t *options = &relay->options;
 	const flowd_settings_t *settings = options->settings;
+	platform_relay_server_options_t server = {
+		.kernel = options->kernel,
+		.base = options->base,
+		.local = settings->relay,
+		.link = options->link,
+	};
 	int error;
 
+	memcpy(server.key, relay->key, sizeof(server.key));
 	error = platform_peer_new(&relay->peer, options->kernel, options->base,
 				  &settings->packets);
 	if (!error)
@@ -79,10 +86,7 @@
 					   options->base, &settings->store,
 					   &settings->packets);
 	if (!error)
-		error = platform_relay_server_new(&relay->server,
-						  options->kernel,
-						  options->base,
-						  &settings->relay, relay->key);
+		error = platform_relay_server_new(&relay->server, &server);
 	return error;
 }
 
@@ -112,6 +116,7 @@
 	options.self.name = carob_buf_view(&relay->instance);
 	options.self.endpoint = carob_endpoint_of(&settings->relay);
 	memcpy(options.self.key, relay->key, sizeof(relay->key));
+	options.link_mbps = settings->link_mbps;
 	options.seed = carob_addr_hash(1, &settings->packets);
 	return carob_reader_claim_new(&relay->claim, &options);
 }
--- a/src/flowd/relay.h
+++ b/src/flowd/relay.h
@@ -7,6 +7,7 @@
 #ifndef CAROB_FLOWD_RELAY_H
 #define CAROB_FLOWD_RELAY_H
 
+#include "carobtrail/link_meter.h"
 #include "carobtrail/relay_source.h"
 #include "platform/store.h"
 #include "settings.h"
@@ -22,6 +23,7 @@
 	platform_store_t *store;
 	carob_reader_table_t *readers;
 	const flowd_settings_t *settings;
+	carob_link_meter_t *link; /* of this instance */
 } flowd_relay_options_t;
 
 /**
--- a/tests/flow/reader_claim_test.c
+++ b/tests/flow/reader_claim_test.c
@@ -42,6 +42,7 @@
 	uint64_t last_lease;
 	uint64_t revision;
 	int writes;
+	double link_mbps[INSTANCES]; /* 0: not known */
 	instance_t instances[INSTANCES];
 };
 
@@ -162,6 +163,7 @@
 	options.self.zone = CAROB_STR("a");
 	options.self.name = carob_str_from(instance->name);
 	options.seed = index;
+	options.link_mbps = simulation->link_mbps[index];
 	CU_ASSERT_EQUAL_FATAL(
 		carob_reader_claim_new(&instance->claim, &options), 0);
 }
@@ -322,6 +324,47 @@
 	simulation_dispose(&simulation);
 }
 
+/* A reader with a slow link sends so much to its zone that packets of callers
+ * are lost on it: with a fast one in the zone, that one must read, also after
+ * it has been killed. Without any, a slow one must. */
+static void test_link_rates(void)
+{
+	static const struct {
+		const char *name;
+		double slow_mbps;
+		double fast_mbps; /* of the last two instances */
+		bool fast_reads;
+	} rates[] = {
+		{"two fast links", 10, 200, true},
+		{"slow links only", 10, 10, false},
+		{"fast links only", 200, 200, false},
+	};
+	static simulation_t simulation;
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(rates); i++) {
+		simulation_init(&simulation);
+		for (size_t j = 0; j < INSTANCES; j++) {
+			stop_instance(&simulation.instances[j]);
+			simulation.link_mbps[j] = j < INSTANCES - 2
+							  ? rates[i].slow_mbps
+							  : rates[i].fast_mbps;
+			start_instance(&simulation, j);
+		}
+		run_for(&simulation, 20000);
+		CU_ASSERT_EQUAL(count_readers(&simulation), 1);
+		if (rates[i].fast_reads)
+			CU_ASSERT_TRUE(find_reader(&simulation) >=
+				       &simulation.instances[INSTANCES - 2]);
+		stop_instance(find_reader(&simulation));
+		run_for(&simulation, 20000);
+		CU_ASSERT_EQUAL(count_readers(&simulation), 1);
+		if (rates[i].fast_reads)
+			CU_ASSERT_TRUE(find_reader(&simulation) >=
+				       &simulation.instances[INSTANCES - 2]);
+		simulation_dispose(&simulation);
+	}
+}
+
 /* An instance that stops gives its slot up at once. */
 static void test_stop(void)
 {
@@ -345,6 +388,7 @@
 	static const test_case_t cases[] = {
 		{"faults of a reader", test_faults},
 		{"writes of a start", test_writes_of_start},
+		{"rates of links", test_link_rates},
 		{"a reader stops", test_stop},
 	};
 
