--- a/tests/platform/relay_server_test.c
+++ b/tests/platform/relay_server_test.c
@@ -76,6 +76,8 @@
 	char *text = calloc(1, bytes);
 
 	CU_ASSERT_PTR_NOT_NULL_FATAL(text);
+	if (!text)
+		return;
 	memset(text, 'A', bytes);
 	platform_cbor_write_map(&writer, 2);
 	platform_cbor_write_text(&writer, CAROB_STR("current_rev"));
