flowd: instances share their load through the readers of their zones

Each decision uses only what one instance sees, although up to 45 instances share each slot. With the setting share_load (default false), an instance now measures the time average of its requests in progress per upstream and the share of late or missing responses, and reports both to the reader of its zone over UDP, on the address of the setting relay. The reader adds the reports up, exchanges sums with the readers of other zones, and answers each report with the load of all others, the numbers of instances and the age. The answer fills others_load, others_late and the view of load_view.h; no decision uses them yet. The reader table now also knows the readers of other zones.

Four processes in two zones know of each other and of one request in progress, and lose the view while the reader is stopped (integration-flowd-load). Without share_load no socket is opened and nothing is measured.

--- a/include/carobtrail/log.h
+++ b/include/carobtrail/log.h
@@ -89,6 +89,10 @@
 	  "successor took over the request records")                           \
 	X(CAROB_EV_HANDOVER_FAILED, 3041, WARN,                                \
 	  "no successor took over the request records")                        \
+	X(CAROB_EV_LOAD_KNOWN, 3050, INFO,                                     \
+	  "the load of the other instances is known")                          \
+	X(CAROB_EV_LOAD_UNKNOWN, 3051, WARN,                                   \
+	  "the load of the other instances is not known any more")             \
 	X(CAROB_EV_PATH_REPLACED, 4001, WARN,                                  \
 	  "path without responses replaced")                                   \
 	X(CAROB_EV_UPSTREAM_SILENT, 4002, WARN,                                \
--- a/include/carobtrail/reader_table.h
+++ b/include/carobtrail/reader_table.h
@@ -2,7 +2,8 @@
  * @file reader_table.h
  * The readers of the own availability zone: instances that read the platform
  * for the others, which read from them (relay_source.h). Readers announce
- * themselves in the catalogue, in one of a fixed number of slots.
+ * themselves in the catalogue, in one of a fixed number of slots. The table also
+ * knows the readers of other zones, to which load is reported (load_sharing.h).
  */
 #ifndef CAROBTRAIL_READER_TABLE_H
 #define CAROBTRAIL_READER_TABLE_H
@@ -16,6 +17,8 @@
 #define CAROB_READER_SLOTS 1
 /** Maximum length of the name of a reader, in bytes. */
 #define CAROB_READER_NAME_MAX 255
+/** Other zones whose readers are known. */
+#define CAROB_READER_ZONES_MAX 16
 /** Length of the key that authenticates a reader's responses, in bytes. */
 #define CAROB_READER_KEY_BYTES 32
 
@@ -38,18 +41,26 @@
 	uint64_t revision; /* of the entry or of its removal */
 } carob_reader_slot_t;
 
+/** The reader of another zone, that of its first slot. */
+typedef struct carob_reader_zone {
+	char zone[CAROB_READER_NAME_MAX + 1]; /* empty: a free element */
+	carob_reader_slot_t slot;
+} carob_reader_zone_t;
+
 /** The readers of one zone; zero-initialise it and set `zone`, borrowed. */
 typedef struct carob_reader_table {
 	carob_str_t zone;
 	carob_reader_slot_t slots[CAROB_READER_SLOTS];
+	/** Readers of other zones; as many as fit. */
+	carob_reader_zone_t others[CAROB_READER_ZONES_MAX];
 } carob_reader_table_t;
 
-/** Enters a reader; other zones and revisions that are not newer are ignored. */
+/** Enters a reader; revisions that are not newer are ignored. */
 void carob_reader_table_put(carob_reader_table_t *table,
 			    const carob_reader_entry_t *entry,
 			    uint64_t revision);
 
-/** Removes a reader; other zones and older revisions are ignored. */
+/** Removes a reader; older revisions are ignored. */
 void carob_reader_table_remove(carob_reader_table_t *table, carob_str_t zone,
 			       uint32_t slot, uint64_t revision);
 
--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -43,6 +43,14 @@
 /** No upstream. */
 #define CAROB_UPSTREAM_NONE CAROB_INDEX_END
 
+/** What this instance measures of an upstream; see load_meter.h. */
+typedef struct carob_upstream_meter {
+	int64_t area;	     /* tenths of a request, times nanoseconds */
+	uint64_t updated_ns; /* `area` counts up to here */
+	float answered;	     /* responses, of which the old ones fade */
+	float late;	     /* of these, late or missing ones */
+} carob_upstream_meter_t;
+
 /** One upstream. */
 typedef struct carob_upstream {
 	bool used; /* false: a free element of the table */
@@ -76,6 +84,7 @@
 	/** What other instances report of it; see load_view.h. */
 	float others_load; /* their requests in progress, a time average */
 	float others_late; /* share of their answers that were late or missing */
+	carob_upstream_meter_t meter; /* used only while load is shared */
 } carob_upstream_t;
 
 /** All upstreams; zero-initialise it. */
--- a/src/flow/steering/steering.c
+++ b/src/flow/steering/steering.c
@@ -134,6 +134,7 @@
 	}
 	carob_failure_detector_record_syn(steering->upstreams, flow->upstream,
 					  carob_steering_now_ns(steering));
+	carob_steering_meter_answer(steering, flow->upstream, true);
 	carob_steering_check_silent(steering, flow->upstream);
 	out->passed_over = &steering->upstreams->items[flow->upstream];
 	to = carob_steering_place(steering, route, packet, flow->upstream);
--- a/src/flow/steering/steering_flow.c
+++ b/src/flow/steering/steering_flow.c
@@ -2,6 +2,7 @@
 #include "flow/steering/steering_priv.h"
 
 #include "carobtrail/failure_detector.h"
+#include "carobtrail/load_meter.h"
 
 /* The usual response time is this quantile of all response times. */
 #define USUAL_TIME_QUANTILE 0.99
@@ -21,6 +22,23 @@
 		flow->phase == CAROB_FLOW_OPEN);
 }
 
+/* Counts the load of an upstream before it changes. */
+static void meter_load(const carob_steering_t *steering,
+		       carob_upstream_index_t upstream)
+{
+	if (steering->load_view)
+		carob_load_meter_advance(&steering->upstreams->items[upstream],
+					 carob_steering_now_ns(steering));
+}
+
+void carob_steering_meter_answer(const carob_steering_t *steering,
+				 carob_upstream_index_t upstream, bool late)
+{
+	if (steering->load_view)
+		carob_load_meter_record(&steering->upstreams->items[upstream],
+					late);
+}
+
 void carob_steering_set_pending(carob_steering_t *steering, carob_flow_t *flow,
 				bool pending)
 {
@@ -29,6 +47,7 @@
 
 	if (flow->pending == pending)
 		return;
+	meter_load(steering, flow->upstream);
 	flow->pending = pending;
 	if (pending)
 		upstream->pending++;
@@ -41,6 +60,7 @@
 	if (!counts_as_open(flow))
 		return;
 	carob_steering_set_pending(steering, flow, false);
+	meter_load(steering, flow->upstream);
 	steering->upstreams->items[flow->upstream].open_flows--;
 }
 
@@ -53,6 +73,7 @@
 		return;
 	carob_steering_unbind_flow(steering, flow);
 	flow->upstream = upstream;
+	meter_load(steering, upstream);
 	steering->upstreams->items[upstream].open_flows++;
 	carob_steering_set_pending(steering, flow, pending);
 }
@@ -147,12 +168,16 @@
 
 	carob_histogram_record(&steering->counters.answer_ms, ms);
 	(void)carob_route_table_find(&route, steering->routes, endpoint);
-	if (route && route->target_ms > 0)
-		carob_admission_record_response(
-			&steering->admission,
-			steering->upstreams->items[flow->upstream].service,
-			ms <= route->target_ms,
-			carob_steering_now_ns(steering));
+	if (!route || route->target_ms == 0)
+		return;
+	carob_admission_record_response(
+		&steering->admission,
+		steering->upstreams->items[flow->upstream].service,
+		ms <= route->target_ms, carob_steering_now_ns(steering));
+	/* A repeated request was counted when it was repeated. */
+	if (!flow->repeated)
+		carob_steering_meter_answer(steering, flow->upstream,
+					    ms > route->target_ms);
 }
 
 static void track_response(carob_steering_t *steering, carob_flow_t *flow,
@@ -182,9 +207,11 @@
 	steering->counters.repeated_data++;
 	if (!flow->pending)
 		return;
-	if (!flow->repeated)
+	if (!flow->repeated) {
 		carob_failure_detector_record_request(steering->upstreams,
 						      flow->upstream, now);
+		carob_steering_meter_answer(steering, flow->upstream, true);
+	}
 	flow->repeated = true;
 	carob_failure_detector_record_stall(steering->upstreams, flow->upstream,
 					    now - waited_ms * CAROB_NS_PER_MS,
--- a/src/flow/steering/steering_priv.h
+++ b/src/flow/steering/steering_priv.h
@@ -74,6 +74,11 @@
 void carob_steering_set_pending(carob_steering_t *steering, carob_flow_t *flow,
 				bool pending);
 
+/** Counts a response for reports of load, or a SYN or request that the caller
+ * repeated without one as late. */
+void carob_steering_meter_answer(const carob_steering_t *steering,
+				 carob_upstream_index_t upstream, bool late);
+
 /**
  * Marks a flow as open at the caller's first packet after the SYN, which shows
  * that an upstream has answered. Does nothing for a reset.
--- a/src/flowd/explain.c
+++ b/src/flowd/explain.c
@@ -62,13 +62,25 @@
 				const carob_upstream_t *upstream)
 {
 	return json_pack(
-		"{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:i}", "id", upstream->id,
-		"state", carob_upstream_state_name(upstream->state), "service",
+		"{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:i, s:f, s:f}", "id",
+		upstream->id, "state",
+		carob_upstream_state_name(upstream->state), "service",
 		carob_name_table_text(&table->services, upstream->service),
 		"zone", carob_name_table_text(&table->zones, upstream->zone),
 		"revision", (json_int_t)upstream->revision, "open_flows",
 		(int)upstream->open_flows, "pending", (int)upstream->pending,
-		"unanswered_syns", (int)upstream->unanswered_syns);
+		"unanswered_syns", (int)upstream->unanswered_syns,
+		"others_load", (double)upstream->others_load, "others_late",
+		(double)upstream->others_late);
+}
+
+static json_t *load_to_json(const carob_load_status_t *load)
+{
+	return json_pack("{s:b, s:I, s:I, s:I, s:I}", "known", load->known,
+			 "age_ms", (json_int_t)load->age_ms, "interval_ms",
+			 (json_int_t)load->interval_ms, "zone_instances",
+			 (json_int_t)load->zone_instances, "all_instances",
+			 (json_int_t)load->all_instances);
 }
 
 static json_t *explanation_to_json(const carob_steer_explanation_t *explanation,
@@ -80,8 +92,8 @@
 				   : json_null();
 
 	return json_pack(
-		"{s:s, s:s, s:o, s:b, s:I, s:I, s:I, s:I, s:I, s:s}", "verdict",
-		verdicts[explanation->verdict], "decision",
+		"{s:s, s:s, s:o, s:b, s:I, s:I, s:I, s:I, s:I, s:s, s:o}",
+		"verdict", verdicts[explanation->verdict], "decision",
 		carob_steer_reason_text(explanation->reason), "upstream",
 		upstream, "remembered", explanation->remembered, "idle_ms",
 		(json_int_t)explanation->idle_ms, "configuration_version",
@@ -89,7 +101,7 @@
 		(json_int_t)carob_catalog_era(source->catalog), "revision",
 		(json_int_t)carob_catalog_revision(source->catalog), "age_ms",
 		(json_int_t)carob_catalog_age_ms(source->catalog), "read_from",
-		source->read_from);
+		source->read_from, "load", load_to_json(&source->load));
 }
 
 static int append_json(carob_buf_t *out, json_t *json)
--- a/src/flowd/explain.h
+++ b/src/flowd/explain.h
@@ -6,6 +6,7 @@
 #define CAROB_FLOWD_EXPLAIN_H
 
 #include "carobtrail/catalog.h"
+#include "carobtrail/load_sharing.h"
 #include "carobtrail/steering.h"
 
 /** The objects that an explanation is based on. */
@@ -14,6 +15,7 @@
 	const carob_catalog_t *catalog;
 	const carob_upstream_table_t *upstreams;
 	const char *read_from; /* a reader's name, or "platform" */
+	carob_load_status_t load;
 } flowd_explain_source_t;
 
 /**
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -6,6 +6,7 @@
 #include "explain.h"
 #include "frontend.h"
 #include "http.h"
+#include "load.h"
 #include "metrics.h"
 #include "net/program.h"
 #include "platform/calls.h"
@@ -45,6 +46,8 @@
 	carob_reader_table_t readers;
 	platform_store_t *store;
 	flowd_relay_t *relay; /* NULL: all is read from the platform */
+	flowd_load_t *load;   /* NULL: load is not shared */
+	carob_load_view_t load_view;
 	carob_catalog_t *catalog;
 	flowd_frontend_t *frontend;
 	flowd_http_t *readiness;
@@ -108,6 +111,8 @@
 		.frontend = self->frontend,
 		.hub = self->program.hub,
 		.relay = flowd_relay_status(self->relay),
+		.load = carob_load_sharing_status(
+			flowd_load_sharing(self->load)),
 		.link_congested = carob_link_meter_congested(
 			&self->link, carob_kernel_now_ns(self->program.kernel)),
 	};
@@ -125,6 +130,8 @@
 		.catalog = self->catalog,
 		.upstreams = &self->upstreams,
 		.read_from = flowd_relay_status(self->relay).source,
+		.load = carob_load_sharing_status(
+			flowd_load_sharing(self->load)),
 	};
 
 	return flowd_explain_write(body, &source, query) == 0 ? 200 : 400;
@@ -150,6 +157,9 @@
 		  CAROB_FIELD_U64("suspended_ms",
 				  suspension_ns / CAROB_NS_PER_MS));
 	carob_catalog_refresh(self->catalog);
+	/* The monotonic clock does not count a suspension. */
+	if (self->load && suspension_ns >= PAUSE_NS)
+		carob_load_sharing_forget(flowd_load_sharing(self->load));
 }
 
 static void stop_if_drained(flowd_t *self, uint64_t now_ns)
@@ -184,6 +194,10 @@
 		flowd_relay_check(self->relay, self->upstreams.count,
 				  !self->draining && carob_catalog_complete(
 							     self->catalog));
+	if (self->load)
+		carob_load_sharing_set_reader(
+			flowd_load_sharing(self->load),
+			flowd_relay_status(self->relay).is_reader);
 	if (++self->ticks % SETTINGS_CHECK_TICKS == 0)
 		carob_program_reload_if_changed(&self->program);
 	(void)carob_timer_arm(self->program.kernel, &self->tick, now + TICK_NS);
@@ -218,7 +232,8 @@
 		  CAROB_FIELD_U64("first_start", settings->first_start),
 		  CAROB_FIELD_U64("contact_ms", settings->contact_ms),
 		  CAROB_FIELD_U64("apply_ms", settings->apply_ms),
-		  CAROB_FIELD_U64("stop_grace_ms", settings->stop_grace_ms));
+		  CAROB_FIELD_U64("stop_grace_ms", settings->stop_grace_ms),
+		  CAROB_FIELD_U64("share_load", settings->share_load));
 }
 
 /* Sockets and the home zone are only set at the start: whatever changes them
@@ -259,6 +274,23 @@
 	return flowd_relay_new(&self->relay, &options);
 }
 
+static int start_load(flowd_t *self)
+{
+	flowd_load_options_t options = {
+		.kernel = self->program.kernel,
+		.hub = self->program.hub,
+		.settings = &self->settings,
+		.upstreams = &self->upstreams,
+		.readers = &self->readers,
+		.view = &self->load_view,
+	};
+
+	if (!self->settings.share_load)
+		return 0;
+	options.key = flowd_relay_key(self->relay);
+	return flowd_load_new(&self->load, &options);
+}
+
 static int start_steering(flowd_t *self)
 {
 	carob_steering_options_t options = CAROB_STEERING_OPTIONS_INIT;
@@ -269,6 +301,8 @@
 	options.home_zone = self->settings.zone;
 	carob_link_meter_init(&self->link, self->settings.link_mbps);
 	options.link = &self->link;
+	if (self->settings.share_load)
+		options.load_view = &self->load_view;
 	return carob_steering_new(&self->steering, &options);
 }
 
@@ -294,6 +328,8 @@
 				   &self->settings.packets);
 	if (!error)
 		error = start_relay(self);
+	if (!error)
+		error = start_load(self);
 	if (error)
 		return error;
 	options.kernel = self->program.kernel;
@@ -365,6 +401,7 @@
 	flowd_http_free(self->readiness);
 	flowd_frontend_free(self->frontend);
 	carob_catalog_free(self->catalog);
+	flowd_load_free(self->load);
 	flowd_relay_free(self->relay);
 	platform_store_free(self->store);
 	carob_steering_free(self->steering);
--- a/src/flowd/metrics.c
+++ b/src/flowd/metrics.c
@@ -113,6 +113,32 @@
 	return write_metrics(out, metrics, CAROB_ARRAY_SIZE(metrics));
 }
 
+static int write_load(carob_buf_t *out, const carob_load_status_t *load)
+{
+	const carob_load_counters_t *counters = &load->counters;
+	const metric_t metrics[] = {
+		{"load_known", load->known},
+		{"load_age_ms", load->age_ms},
+		{"load_interval_ms", load->interval_ms},
+		{"load_zone_instances", load->zone_instances},
+		{"load_all_instances", load->all_instances},
+		{"load_reports_sent", counters->reports_sent},
+		{"load_answers_received", counters->answers_received},
+		{"load_reports_received", counters->reports_received},
+		{"load_answers_sent", counters->answers_sent},
+		{"load_zone_sums_sent", counters->zone_sums_sent},
+		{"load_zone_sums_received", counters->zone_sums_received},
+		{"load_rejected{reason=\"malformed\"}", counters->malformed},
+		{"load_rejected{reason=\"forged\"}", counters->forged},
+		{"load_rejected{reason=\"stale\"}", counters->stale},
+		{"load_rejected{reason=\"foreign\"}", counters->foreign},
+		{"load_bytes_sent", counters->bytes_sent},
+		{"load_bytes_received", counters->bytes_received},
+	};
+
+	return write_metrics(out, metrics, CAROB_ARRAY_SIZE(metrics));
+}
+
 int flowd_metrics_write(carob_buf_t *out, const flowd_metrics_source_t *source)
 {
 	const carob_steering_counters_t *steering =
@@ -129,6 +155,8 @@
 		error = write_histogram(out, "answer_ms", &steering->answer_ms);
 	if (!error)
 		error = write_catalog(out, source);
+	if (!error)
+		error = write_load(out, &source->load);
 	if (!error)
 		error = write_upstreams(out, source->upstreams);
 	return error;
--- a/src/flowd/metrics.h
+++ b/src/flowd/metrics.h
@@ -6,6 +6,7 @@
 #define CAROB_FLOWD_METRICS_H
 
 #include "carobtrail/catalog.h"
+#include "carobtrail/load_sharing.h"
 #include "carobtrail/steering.h"
 #include "frontend.h"
 #include "relay.h"
@@ -19,6 +20,7 @@
 	const flowd_frontend_t *frontend;
 	const carob_udp_hub_t *hub;
 	flowd_relay_status_t relay;
+	carob_load_status_t load;
 	bool link_congested;
 } flowd_metrics_source_t;
 
--- a/src/flowd/relay.c
+++ b/src/flowd/relay.c
@@ -160,6 +160,11 @@
 	free(relay);
 }
 
+const uint8_t *flowd_relay_key(const flowd_relay_t *relay)
+{
+	return relay->key;
+}
+
 carob_catalog_source_t *flowd_relay_source(flowd_relay_t *relay)
 {
 	return carob_relay_source_base(relay->source);
--- a/src/flowd/relay.h
+++ b/src/flowd/relay.h
@@ -36,6 +36,9 @@
 /** Releases the relay; NULL is allowed. */
 void flowd_relay_free(flowd_relay_t *relay);
 
+/** @return the key of the own reader entry, borrowed */
+const uint8_t *flowd_relay_key(const flowd_relay_t *relay);
+
 /** @return the source for the catalogue, borrowed */
 carob_catalog_source_t *flowd_relay_source(flowd_relay_t *relay);
 
--- a/src/flowd/settings.c
+++ b/src/flowd/settings.c
@@ -1,5 +1,7 @@
 #include "settings.h"
 
+#include "carobtrail/errors.h"
+
 #include <string.h>
 
 /* Maximum length of the name of an instance or a zone. */
@@ -23,7 +25,7 @@
 	"instance",	   "zone",	   "packets",	  "readiness",
 	"metrics",	   "store",	   "first_start", "contact_ms",
 	"apply_ms",	   "stop_grace_s", "log_level",	  "relay",
-	"relay_upstreams", "link_mbps",
+	"relay_upstreams", "link_mbps",	   "share_load",
 };
 
 static int read_identity(flowd_settings_t *out, const carob_json_node_t *root)
@@ -66,6 +68,18 @@
 	return error;
 }
 
+static int read_share_load(flowd_settings_t *out, const carob_json_node_t *root)
+{
+	int error = carob_json_get_bool_or(&out->share_load, root, "share_load",
+					   false);
+
+	if (!error && out->share_load && !out->relay.family)
+		return carob_error_set(CAROB_EINVALID,
+				       "share_load: expected false, since "
+				       "there is no relay");
+	return error;
+}
+
 /* Reads a duration in milliseconds. The platform may give a fraction; it is
  * rounded down. */
 static int read_duration(uint32_t *out, const carob_json_node_t *root,
@@ -110,6 +124,8 @@
 		error = read_addresses(out, root);
 	if (!error)
 		error = read_relay_upstreams(out, root);
+	if (!error)
+		error = read_share_load(out, root);
 	if (!error)
 		error = read_durations(out, root);
 	if (!error)
--- a/src/flowd/settings.h
+++ b/src/flowd/settings.h
@@ -19,6 +19,7 @@
 	carob_addr_t relay; /* HTTP address for instances of the zone that read
 			       from this one; family 0: none do */
 	uint32_t relay_upstreams; /* fewer upstreams need no readers */
+	bool share_load;	  /* see load_sharing.h; needs `relay` */
 	bool first_start;	  /* first start of the whole deployment */
 	uint32_t contact_ms;	  /* see carob_catalog_options_t */
 	uint32_t apply_ms;	  /* see carob_catalog_options_t */
