--- a/src/flow/load/load_sharing.c
+++ b/src/flow/load/load_sharing.c
@@ -13,7 +13,10 @@
  * apart. */
 #define UNANSWERED_MAX 4
 #define UNANSWERED_MS  1000
-#define IP_UDP_BYTES   28
+/* A report whose answer is missing after this is repeated, if the next one is
+ * later: at long intervals a lost datagram would make a view expire. */
+#define ANSWER_MS_MAX 500
+#define IP_UDP_BYTES  28
 /* Periods differ by this part, so that the reports of many instances that
  * started together spread in time. */
 #define JITTER_PART 16
@@ -188,18 +191,32 @@
 	sharing->unanswered++;
 }
 
-static void arm(carob_load_sharing_t *sharing)
+static void arm(carob_load_sharing_t *sharing, uint64_t due_ns)
 {
-	uint32_t ms = sharing->interval_ms;
+	(void)carob_timer_arm(sharing->options.kernel, &sharing->timer, due_ns);
+}
+
+/* @return the time until the next report, in milliseconds */
+static uint32_t next_ms(carob_load_sharing_t *sharing)
+{
+	uint32_t ms = sharing->is_reader
+			      ? carob_load_zone_ms(sharing->interval_ms)
+			      : sharing->interval_ms;
 	uint32_t jitter;
 
 	if (sharing->unanswered > UNANSWERED_MAX && ms < UNANSWERED_MS)
 		ms = UNANSWERED_MS;
 	jitter = carob_rng_below(&sharing->rng, ms / JITTER_PART);
-	ms += jitter - ms / JITTER_PART / 2;
-	(void)carob_timer_arm(sharing->options.kernel, &sharing->timer,
-			      carob_load_now_ns(sharing) +
-				      ms * CAROB_NS_PER_MS);
+	return ms + jitter - ms / JITTER_PART / 2;
+}
+
+/* @return whether the next report is due, or the answer of the last one is
+ * missing although it can't be on the way any more */
+static bool is_due(const carob_load_sharing_t *sharing, uint64_t now_ns)
+{
+	return now_ns >= sharing->next_ns ||
+	       (sharing->unanswered > 0 &&
+		sharing->unanswered <= UNANSWERED_MAX);
 }
 
 static void on_timer(carob_timer_t *timer)
@@ -207,7 +224,12 @@
 	carob_load_sharing_t *sharing =
 		CAROB_CONTAINER_OF(timer, carob_load_sharing_t, timer);
 	uint64_t now = carob_load_now_ns(sharing);
+	uint64_t look_ns = now + ANSWER_MS_MAX * CAROB_NS_PER_MS;
 
+	if (!is_due(sharing, now)) {
+		arm(sharing, sharing->next_ns);
+		return;
+	}
 	measure(sharing, now);
 	sharing->sequence++;
 	sharing->sent_ns[sharing->sequence % LOAD_SENT_MAX] = now;
@@ -216,7 +238,8 @@
 	else
 		send_report(sharing);
 	check_view(sharing);
-	arm(sharing);
+	sharing->next_ns = now + next_ms(sharing) * CAROB_NS_PER_MS;
+	arm(sharing, look_ns < sharing->next_ns ? look_ns : sharing->next_ns);
 }
 
 /* Adds a datagram of an answer.
@@ -322,6 +345,7 @@
 	if (sharing->is_reader == is_reader)
 		return;
 	sharing->is_reader = is_reader;
+	sharing->unanswered = 0;
 	sharing->reader_since_ns = carob_load_now_ns(sharing);
 	carob_load_sums_dispose(&sharing->sums);
 	memset(sharing->peers, 0, sizeof(sharing->peers));
--- a/src/flow/load/load_sharing_priv.h
+++ b/src/flow/load/load_sharing_priv.h
@@ -31,7 +31,7 @@
 
 struct carob_load_sharing {
 	carob_load_sharing_options_t options;
-	carob_timer_t timer; /* the next report */
+	carob_timer_t timer; /* the next report, or a look for its answer */
 	carob_rng_t rng;
 	uint64_t self; /* see carob_load_sender */
 	uint64_t incarnation;
@@ -41,6 +41,7 @@
 	uint32_t interval_ms; /* as the reader says */
 	uint32_t unanswered;  /* reports since the last answer */
 	uint32_t applied;     /* sequence of the report last answered */
+	uint64_t next_ns;     /* the next report, unless one is repeated */
 	bool known;	      /* the view was fresh when last looked at */
 	carob_load_list_t own;
 	load_answer_t answer;
@@ -102,6 +103,10 @@
 		      const carob_load_list_t *loads,
 		      const carob_load_summary_t *summary, uint64_t at_ns);
 
+/** @return the time between two sums of a zone, in milliseconds: half of a long
+ *          interval, since their age adds to that of answers in other zones */
+uint32_t carob_load_zone_ms(uint32_t interval_ms);
+
 /** The work of a reader at the end of a period: takes its own load into the
  * sums and sends the sum of its zone to the other readers. */
 void carob_load_reader_end_period(carob_load_sharing_t *sharing);
--- a/src/flow/load/load_sharing_reader.c
+++ b/src/flow/load/load_sharing_reader.c
@@ -18,9 +18,19 @@
 	       wait_ms * CAROB_NS_PER_MS;
 }
 
+/* A shorter interval is not divided: sums of zones would use up more of the
+ * budget than they gain. */
+#define DIVIDED_MS_MIN (2 * CAROB_LOAD_INTERVAL_MS_MIN)
+
+uint32_t carob_load_zone_ms(uint32_t interval_ms)
+{
+	return interval_ms < DIVIDED_MS_MIN ? interval_ms : interval_ms / 2;
+}
+
 /* @return the number of messages with a sum that are sent per interval */
 static size_t count_messages(const carob_load_sharing_t *sharing)
 {
+	size_t sums = sharing->interval_ms < DIVIDED_MS_MIN ? 1 : 2;
 	size_t count = 0;
 
 	for (size_t i = 0; i < sharing->sums.count; i++) {
@@ -30,7 +40,8 @@
 			 record->id != sharing->self;
 	}
 	for (size_t i = 0; i < CAROB_READER_ZONES_MAX; i++)
-		count += sharing->options.readers->others[i].slot.used;
+		if (sharing->options.readers->others[i].slot.used)
+			count += sums;
 	return count;
 }
 
