tests: meter, datagrams and sums of load, readers of other zones, settings

Also a fuzz target for the datagrams. Responses on routes without a target now count as timely in the share of late ones: only repeated requests counted, so that the share was 1 as soon as there was one.

--- /dev/null
+++ b/fuzzers/load_report_fuzzer.c
@@ -0,0 +1,140 @@
+#include "carobtrail/load_sharing.h"
+
+#include "carobtrail/log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void discard(carob_load_transport_t *transport, carob_endpoint_t to,
+		    const uint8_t *key, uint8_t *datagram, size_t len)
+{
+	(void)transport;
+	(void)to;
+	(void)key;
+	(void)datagram;
+	if (len + CAROB_LOAD_AUTH_BYTES > CAROB_LOAD_DATAGRAM_MAX)
+		abort();
+}
+
+/* Accepts all, so that what follows the authentication is reached. */
+static bool accept(carob_load_transport_t *transport, const uint8_t *key,
+		   carob_str_t data, const uint8_t *auth)
+{
+	(void)transport;
+	(void)key;
+	(void)data;
+	(void)auth;
+	return true;
+}
+
+/* A datagram that decodes must be encoded the same way, if it is the only one
+ * of its message. */
+static void check_codec(carob_str_t datagram)
+{
+	carob_load_entry_t entries[CAROB_LOAD_PART_ENTRIES];
+	uint8_t out[CAROB_LOAD_DATAGRAM_MAX];
+	carob_load_header_t header;
+	carob_load_list_t list = {.items = entries};
+
+	if (carob_load_decode(&header, entries, &list.count, datagram) != 0 ||
+	    header.parts != 1)
+		return;
+	if (carob_load_encode(out, &header, &list) != datagram.len)
+		abort();
+	memset(out + CAROB_LOAD_HEADER_BYTES - 4, 0, 4);
+	if (memcmp(out, datagram.ptr, CAROB_LOAD_HEADER_BYTES - 4) != 0 ||
+	    memcmp(out + CAROB_LOAD_HEADER_BYTES,
+		   datagram.ptr + CAROB_LOAD_HEADER_BYTES,
+		   datagram.len - CAROB_LOAD_HEADER_BYTES) != 0)
+		abort();
+}
+
+/* Gives datagrams, each with its length in front, to a reader and to another
+ * instance. Those that are addressed to nobody go to the one that receives
+ * them. */
+static void receive(carob_load_sharing_t *sharing, uint64_t self, uint64_t from,
+		    const uint8_t *data, size_t size)
+{
+	while (size > 2) {
+		size_t len = (size_t)(data[0] << 8 | data[1]) % 1300;
+		uint8_t copy[1300] = {0};
+
+		data += 2;
+		size -= 2;
+		if (len > size)
+			len = size;
+		memcpy(copy, data, len);
+		for (size_t i = 0; len > 20 && i < 8; i++) {
+			if (data[4] == 0)
+				copy[4 + i] = (uint8_t)(from >> (56 - 8 * i));
+			if (data[12] == 0)
+				copy[12 + i] = (uint8_t)(self >> (56 - 8 * i));
+		}
+		if (len >= CAROB_LOAD_AUTH_BYTES)
+			check_codec((carob_str_t){(char *)copy,
+						  len - CAROB_LOAD_AUTH_BYTES});
+		carob_load_sharing_receive(sharing, (carob_endpoint_t){1, 2},
+					   (carob_str_t){(char *)copy, len},
+					   data[0]);
+		data += len;
+		size -= len;
+	}
+}
+
+static void put_reader(carob_reader_table_t *readers, const char *zone)
+{
+	const carob_reader_entry_t entry = {.zone = carob_str_from(zone),
+					    .name = CAROB_STR("reader")};
+
+	carob_reader_table_put(readers, &entry, 1);
+}
+
+static void run(bool is_reader, const uint8_t *data, size_t size)
+{
+	static const uint8_t key[CAROB_READER_KEY_BYTES];
+	carob_load_sharing_options_t options = CAROB_LOAD_SHARING_OPTIONS_INIT;
+	carob_load_transport_t transport = {discard, accept};
+	carob_upstream_table_t upstreams = {0};
+	carob_reader_table_t readers = {.zone = CAROB_STR("a")};
+	carob_load_view_t view = {0};
+	carob_load_sharing_t *sharing;
+	carob_manual_clock_t clock;
+
+	carob_manual_clock_init(&clock, 1000 * CAROB_NS_PER_S);
+	put_reader(&readers, "a");
+	put_reader(&readers, "b");
+	options.transport = &transport;
+	options.upstreams = &upstreams;
+	options.readers = &readers;
+	options.view = &view;
+	options.instance = CAROB_STR("self");
+	options.key = key;
+	if (carob_kernel_new(&options.kernel, &clock.clock) != 0 ||
+	    carob_load_sharing_new(&sharing, &options) != 0)
+		abort();
+	carob_load_sharing_set_reader(sharing, is_reader);
+	for (int i = 0; i < 8; i++) {
+		carob_manual_clock_advance(&clock, 500 * CAROB_NS_PER_MS);
+		carob_kernel_run_due(options.kernel);
+	}
+	receive(sharing, carob_load_sender(CAROB_STR("a"), CAROB_STR("self")),
+		carob_load_sender(is_reader ? CAROB_STR("b") : CAROB_STR("a"),
+				  CAROB_STR("reader")),
+		data, size);
+	carob_manual_clock_advance(&clock, CAROB_NS_PER_S);
+	carob_kernel_run_due(options.kernel);
+	carob_load_sharing_free(sharing);
+	carob_kernel_free(options.kernel);
+	carob_upstream_table_dispose(&upstreams);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	carob_log_configure("fuzzer", NULL, CAROB_LOG_ERROR, NULL);
+	if (size < 1)
+		return 0;
+	run(data[0] & 1, data + 1, size - 1);
+	return 0;
+}
--- a/src/flow/steering/steering_flow.c
+++ b/src/flow/steering/steering_flow.c
@@ -165,19 +165,20 @@
 {
 	carob_endpoint_t endpoint = {flow->route_ip, flow->route_port};
 	const carob_route_t *route = NULL;
+	bool in_time = true; /* also without a target */
 
 	carob_histogram_record(&steering->counters.answer_ms, ms);
 	(void)carob_route_table_find(&route, steering->routes, endpoint);
-	if (!route || route->target_ms == 0)
-		return;
-	carob_admission_record_response(
-		&steering->admission,
-		steering->upstreams->items[flow->upstream].service,
-		ms <= route->target_ms, carob_steering_now_ns(steering));
+	if (route && route->target_ms > 0) {
+		in_time = ms <= route->target_ms;
+		carob_admission_record_response(
+			&steering->admission,
+			steering->upstreams->items[flow->upstream].service,
+			in_time, carob_steering_now_ns(steering));
+	}
 	/* A repeated request was counted when it was repeated. */
 	if (!flow->repeated)
-		carob_steering_meter_answer(steering, flow->upstream,
-					    ms > route->target_ms);
+		carob_steering_meter_answer(steering, flow->upstream, !in_time);
 }
 
 static void track_response(carob_steering_t *steering, carob_flow_t *flow,
--- a/tests/flow/load_sharing_test.c
+++ b/tests/flow/load_sharing_test.c
@@ -157,12 +157,13 @@
 
 /* All loads on one upstream rise steadily, so that a sum shows the mean time at
  * which its parts were measured. The view must not say a later one. */
-static void check_age(uint32_t zone_delay_ms)
+static void check_age(uint32_t delay_ms, uint32_t zone_delay_ms)
 {
 	double worst_ms = 0;
 	uint64_t start;
 
 	sim_init(&sim, 4);
+	sim.faults.delay_ms = delay_ms;
 	sim.faults.zone_delay_ms = zone_delay_ms;
 	sim_run(&sim, 6000);
 	start = sim_now(&sim);
@@ -176,7 +177,7 @@
 			double said_ms =
 				(double)(it->view.updated_ns - start) / MS;
 
-			if (ms < 1000 + zone_delay_ms)
+			if (ms < 1000 + delay_ms + zone_delay_ms)
 				continue;
 			if (said_ms - load / 3 * RAMP_MS > worst_ms)
 				worst_ms = said_ms - load / 3 * RAMP_MS;
@@ -185,15 +186,17 @@
 	CU_ASSERT_TRUE(sim.instances[3].upstreams.items[MARKED].others_load >
 		       3 * 500 / RAMP_MS);
 	CU_ASSERT_TRUE(worst_ms <= AGE_SLACK_MS(sim_interval(&sim, 0)));
-	printf("\n%u ms between zones: loads up to %.0f ms older than said",
-	       zone_delay_ms, worst_ms);
+	printf("\ndelays of %u ms, and %u between zones: loads up to %.0f ms "
+	       "older than said",
+	       delay_ms, zone_delay_ms, worst_ms);
 	sim_dispose(&sim);
 }
 
 static void test_age(void)
 {
-	check_age(0);
-	check_age(300);
+	check_age(0, 0);
+	check_age(0, 300);
+	check_age(100, 0);
 }
 
 static void kill_reader(void)
@@ -420,7 +423,7 @@
 	{"all twice", {.twice = 100}, 0.99, false, true},
 	{"a tenth late", {.late = 10}, 0.99, false, true},
 	{"a tenth altered", {.forged = 10}, 0.99, true, false},
-	{"all of it", {20, 20, 20, 20, 100, false}, 0.5, true, true},
+	{"all of it", {20, 20, 20, 20, 0, 100, false}, 0.5, true, true},
 };
 
 /* Datagrams that are late by up to 3 s may be the newest of their sender. */
--- a/tests/flow/load_simulation.h
+++ b/tests/flow/load_simulation.h
@@ -54,7 +54,8 @@
 	uint32_t twice;
 	uint32_t late; /* by up to 3 s */
 	uint32_t forged;
-	uint32_t zone_delay_ms; /* between zones */
+	uint32_t delay_ms;	/* of all datagrams */
+	uint32_t zone_delay_ms; /* between zones, in addition */
 	bool zone_cut;		/* zone 0 is cut off from the others */
 } sim_faults_t;
 
@@ -116,7 +117,8 @@
 		.len = len + CAROB_LOAD_AUTH_BYTES,
 	};
 	bool crosses = flight.from % SIM_ZONES != flight.to % SIM_ZONES;
-	uint64_t delay_ms = crosses ? 1 + sim->faults.zone_delay_ms : 1;
+	uint64_t delay_ms = 1 + sim->faults.delay_ms +
+			    (crosses ? sim->faults.zone_delay_ms : 0);
 
 	CU_ASSERT_TRUE_FATAL(flight.len <= sizeof(flight.data));
 	sim->datagrams++;
