config: stated pace of cold upstreams, settings of slow start

Instances need to know how many new flows a cold upstream can take.

The adapter decodes `services` of op/config; the table of routes keeps it with the version in force. cold_start_s applies to entries without cold_ms; without it such entries stay unusable. Nothing uses the settings yet.

Tests: platform-items, flow-catalog, flowd-settings; the three fail without the change.

--- a/include/carobtrail/catalog.h
+++ b/include/carobtrail/catalog.h
@@ -46,12 +46,21 @@
 	carob_catalog_share_t shares[CAROB_ROUTE_SHARES_MAX];
 } carob_catalog_route_t;
 
+/** What a configuration says of a service; see carob_service_config_t. */
+typedef struct carob_catalog_service {
+	carob_str_t name;
+	double cold_per_s;
+	uint32_t cold_start_ms;
+} carob_catalog_service_t;
+
 /** One version of the configuration. */
 typedef struct carob_catalog_config {
 	uint64_t version;
 	uint32_t idle_timeout_ms;
 	size_t count;
 	const carob_catalog_route_t *routes;
+	size_t service_count;
+	const carob_catalog_service_t *services;
 } carob_catalog_config_t;
 
 /** One item of a listing, or one change reported by a watch; borrowed. */
--- a/include/carobtrail/route_table.h
+++ b/include/carobtrail/route_table.h
@@ -28,6 +28,16 @@
 	carob_route_share_t shares[CAROB_ROUTE_SHARES_MAX];
 } carob_route_t;
 
+/** What the configuration says of a service's cold upstreams. */
+typedef struct carob_service_config {
+	carob_name_id_t service;
+	/** New flows that a cold upstream can take a second; 0: not stated. */
+	double cold_per_s;
+	/** How long an upstream is cold if its entry does not say it; 0: the
+	 * entry has to. */
+	uint32_t cold_start_ms;
+} carob_service_config_t;
+
 /** One complete version of the configuration. */
 typedef struct carob_route_config {
 	uint64_t version;
@@ -35,6 +45,8 @@
 	uint32_t least_priority;  /* the highest `priority` of the routes */
 	size_t count;
 	carob_route_t *routes;
+	size_t service_count; /* services that the configuration describes */
+	carob_service_config_t *services;
 } carob_route_config_t;
 
 /** The routes in force; zero-initialise it. */
@@ -61,8 +73,8 @@
  * Puts a configuration in force.
  *
  * @param table the table
- * @param config the configuration; its routes are copied. `least_priority` is
- *        computed from the routes if it is lower than theirs.
+ * @param config the configuration; its routes and services are copied.
+ * `least_priority` is computed from the routes if it is lower than theirs.
  * @return 0; CAROB_ESTALE if the version is not higher than the one in force;
  *         or CAROB_ENOMEM. On failure the table is unchanged.
  */
@@ -92,6 +104,14 @@
 carob_name_id_t carob_route_choose_service(const carob_route_t *route,
 					   uint64_t flow_hash);
 
+/**
+ * @return what the configuration in force says of a service, borrowed until the
+ *         next one is applied, or NULL if it says nothing
+ */
+const carob_service_config_t *
+carob_route_table_service(const carob_route_table_t *table,
+			  carob_name_id_t service);
+
 /** Releases the routes and zeroes the table. */
 void carob_route_table_dispose(carob_route_table_t *table);
 
--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -24,6 +24,7 @@
 	carob_endpoint_t endpoint;
 	uint32_t slots;	     /* requests that it processes concurrently */
 	uint32_t cold_ms;    /* remaining time of its slow start */
+	bool cold_unstated;  /* the entry lacks `cold_ms` */
 	uint64_t started_ms; /* Unix time of its start; its incarnation */
 	uint64_t sequence;   /* rises with each report of an incarnation */
 	bool draining;
--- a/src/flow/sources/catalog.c
+++ b/src/flow/sources/catalog.c
@@ -158,6 +158,39 @@
 	return error;
 }
 
+static int copy_service(carob_service_config_t *out,
+			const carob_catalog_service_t *service,
+			carob_name_table_t *services)
+{
+	out->cold_per_s = service->cold_per_s;
+	out->cold_start_ms = service->cold_start_ms;
+	return carob_name_table_add(&out->service, services, service->name);
+}
+
+static int copy_config(carob_route_config_t *out,
+		       const carob_catalog_config_t *config,
+		       carob_name_table_t *services)
+{
+	int error = 0;
+
+	out->routes =
+		calloc(config->count ? config->count : 1, sizeof(*out->routes));
+	out->services =
+		calloc(config->service_count ? config->service_count : 1,
+		       sizeof(*out->services));
+	if (!out->routes || !out->services)
+		return carob_error_set(CAROB_ENOMEM,
+				       "cannot allocate routes of a "
+				       "configuration");
+	for (size_t i = 0; !error && i < config->count; i++)
+		error = copy_route(&out->routes[i], &config->routes[i],
+				   services);
+	for (size_t i = 0; !error && i < config->service_count; i++)
+		error = copy_service(&out->services[i], &config->services[i],
+				     services);
+	return error;
+}
+
 static void log_config(int error, uint64_t version, size_t routes,
 		       uint64_t revision)
 {
@@ -180,21 +213,15 @@
 		.version = config->version,
 		.idle_timeout_ms = config->idle_timeout_ms,
 		.count = config->count,
+		.service_count = config->service_count,
 	};
-	int error = 0;
+	int error = copy_config(&next, config,
+				&catalog->options.upstreams->services);
 
-	next.routes =
-		calloc(config->count ? config->count : 1, sizeof(*next.routes));
-	if (!next.routes)
-		return carob_error_set(CAROB_ENOMEM,
-				       "cannot allocate routes of a "
-				       "configuration");
-	for (size_t i = 0; !error && i < config->count; i++)
-		error = copy_route(&next.routes[i], &config->routes[i],
-				   &catalog->options.upstreams->services);
 	if (!error)
 		error = carob_route_table_apply(catalog->options.routes, &next);
 	free(next.routes);
+	free(next.services);
 	/* A version in force is not logged again: each listing contains it. */
 	if (error != CAROB_ESTALE)
 		log_config(error, config->version, config->count, revision);
@@ -221,6 +248,57 @@
 			  CAROB_FIELD_CSTR("error", carob_error_last()));
 }
 
+static void apply_unusable_upstream(carob_catalog_t *catalog,
+				    const carob_catalog_change_t *change)
+{
+	apply_unusable(catalog, change);
+	carob_upstream_table_remove(catalog->options.upstreams,
+				    change->upstream_id, change->revision,
+				    CAROB_UPSTREAM_GONE, now_ns(catalog));
+}
+
+/* Sets `cold_ms` of an entry that lacks it, from the configuration. The time
+ * runs from when this instance first reads of the start: the start time in the
+ * entry is of another clock. Returns false if the configuration says nothing. */
+static bool set_cold_time(const carob_catalog_t *catalog,
+			  carob_upstream_entry_t *entry)
+{
+	const carob_upstream_table_t *upstreams = catalog->options.upstreams;
+	carob_upstream_index_t index =
+		carob_upstream_table_by_id(upstreams, entry->id);
+	const carob_service_config_t *service = carob_route_table_service(
+		catalog->options.routes,
+		carob_name_table_find(&upstreams->services, entry->service));
+	uint64_t now = now_ns(catalog);
+
+	if (!service || service->cold_start_ms == 0)
+		return false;
+	entry->cold_ms = service->cold_start_ms;
+	if (index == CAROB_UPSTREAM_NONE ||
+	    upstreams->items[index].started_ms != entry->started_ms)
+		return true;
+	entry->cold_ms = 0;
+	if (upstreams->items[index].cold_until_ns > now)
+		entry->cold_ms =
+			(uint32_t)((upstreams->items[index].cold_until_ns -
+				    now) /
+				   CAROB_NS_PER_MS);
+	return true;
+}
+
+static int apply_upstream(carob_catalog_t *catalog,
+			  const carob_catalog_change_t *change)
+{
+	carob_upstream_entry_t entry = change->upstream;
+
+	if (entry.cold_unstated && !set_cold_time(catalog, &entry)) {
+		apply_unusable_upstream(catalog, change);
+		return 0;
+	}
+	return carob_upstream_table_put(catalog->options.upstreams, &entry,
+					change->revision, now_ns(catalog));
+}
+
 static void apply_change(carob_catalog_t *catalog,
 			 const carob_catalog_change_t *change)
 {
@@ -229,16 +307,10 @@
 
 	switch (change->kind) {
 	case CAROB_CATALOG_UPSTREAM:
-		error = carob_upstream_table_put(upstreams, &change->upstream,
-						 change->revision,
-						 now_ns(catalog));
+		error = apply_upstream(catalog, change);
 		break;
 	case CAROB_CATALOG_UPSTREAM_UNUSABLE:
-		apply_unusable(catalog, change);
-		carob_upstream_table_remove(upstreams, change->upstream_id,
-					    change->revision,
-					    CAROB_UPSTREAM_GONE,
-					    now_ns(catalog));
+		apply_unusable_upstream(catalog, change);
 		break;
 	case CAROB_CATALOG_UPSTREAM_REMOVED:
 		carob_upstream_table_remove(upstreams, change->upstream_id,
--- a/src/flow/tables/route_table.c
+++ b/src/flow/tables/route_table.c
@@ -68,20 +68,42 @@
 	return 0;
 }
 
+static int copy_services(carob_route_config_t *out,
+			 const carob_route_config_t *config)
+{
+	out->services = NULL;
+	if (config->service_count == 0)
+		return 0;
+	out->services =
+		calloc(config->service_count, sizeof(*config->services));
+	if (!out->services)
+		return carob_error_set(CAROB_ENOMEM,
+				       "cannot allocate services of a "
+				       "configuration");
+	memcpy(out->services, config->services,
+	       config->service_count * sizeof(*config->services));
+	return 0;
+}
+
 static int build_table(carob_route_table_t *table,
 		       const carob_route_config_t *config,
 		       const carob_route_table_t *previous)
 {
+	int error;
+
 	table->bucket_count = BUCKETS_MIN;
 	while (table->bucket_count < BUCKETS_PER_ROUTE * config->count)
 		table->bucket_count *= 2;
 	table->buckets = calloc(table->bucket_count, sizeof(*table->buckets));
 	table->config = *config;
+	error = copy_services(&table->config, config);
 	table->config.routes = calloc(config->count ? config->count : 1,
 				      sizeof(*config->routes));
 	if (!table->buckets || !table->config.routes)
 		return carob_error_set(CAROB_ENOMEM,
 				       "cannot allocate route table");
+	if (error)
+		return error;
 	if (config->count)
 		memcpy(table->config.routes, config->routes,
 		       config->count * sizeof(*config->routes));
@@ -139,6 +161,16 @@
 					   : CAROB_ROUTE_UNKNOWN;
 }
 
+const carob_service_config_t *
+carob_route_table_service(const carob_route_table_t *table,
+			  carob_name_id_t service)
+{
+	for (size_t i = 0; i < table->config.service_count; i++)
+		if (table->config.services[i].service == service)
+			return &table->config.services[i];
+	return NULL;
+}
+
 carob_name_id_t carob_route_choose_service(const carob_route_t *route,
 					   uint64_t flow_hash)
 {
@@ -161,6 +193,7 @@
 void carob_route_table_dispose(carob_route_table_t *table)
 {
 	free(table->config.routes);
+	free(table->config.services);
 	free(table->buckets);
 	free(table->dropped);
 	memset(table, 0, sizeof(*table));
--- a/src/flowd/settings.c
+++ b/src/flowd/settings.c
@@ -18,12 +18,20 @@
  * the leases of readers would cost as much as they save. */
 #define RELAY_UPSTREAMS_DEFAULT 100
 #define RELAY_UPSTREAMS_MAX	1000000
+#define COLD_OVERAGE_MAX	1000
+#define COLD_SLACK_MAX		1000000
+/* At least the number of instances of the deployments with fewest resources:
+ * with a number that is too low, the sum over the instances exceeds the bound
+ * on new flows to a cold upstream. */
+#define PACE_INSTANCES_DEFAULT 150
+#define PACE_INSTANCES_MAX     1000000
 
 static const char *const keys[] = {
-	"instance",	   "zone",	   "packets",	  "readiness",
-	"metrics",	   "store",	   "first_start", "contact_ms",
-	"apply_ms",	   "stop_grace_s", "log_level",	  "relay",
-	"relay_upstreams", "link_mbps",
+	"instance",	   "zone",	   "packets",	   "readiness",
+	"metrics",	   "store",	   "first_start",  "contact_ms",
+	"apply_ms",	   "stop_grace_s", "log_level",	   "relay",
+	"relay_upstreams", "link_mbps",	   "cold_overage", "cold_slack",
+	"pace_instances",
 };
 
 static int read_identity(flowd_settings_t *out, const carob_json_node_t *root)
@@ -98,6 +106,30 @@
 	return error;
 }
 
+static int read_pace(flowd_settings_t *out, const carob_json_node_t *root)
+{
+	uint64_t instances = PACE_INSTANCES_DEFAULT;
+	carob_json_node_t node;
+	int error = 0;
+
+	/* Without the key the pace is off, which no valid value means. */
+	if (carob_json_find(&node, root, "cold_overage"))
+		error = carob_json_get_real_or(&out->cold_overage, root,
+					       "cold_overage", 1,
+					       COLD_OVERAGE_MAX, 1);
+	if (!error)
+		error = carob_json_get_real_or(&out->cold_slack, root,
+					       "cold_slack", 0, COLD_SLACK_MAX,
+					       0);
+	if (!error)
+		error = carob_json_get_u64_or(&instances, root,
+					      "pace_instances", 1,
+					      PACE_INSTANCES_MAX,
+					      PACE_INSTANCES_DEFAULT);
+	out->pace_instances = (uint32_t)instances;
+	return error;
+}
+
 int flowd_settings_read(flowd_settings_t *out, const carob_json_node_t *root)
 {
 	int error;
@@ -116,6 +148,8 @@
 		error = carob_json_get_real_or(&out->link_mbps, root,
 					       "link_mbps", 0, LINK_MBPS_MAX,
 					       0);
+	if (!error)
+		error = read_pace(out, root);
 	if (!error)
 		error = carob_json_get_bool_or(&out->first_start, root,
 					       "first_start", false);
--- a/src/flowd/settings.h
+++ b/src/flowd/settings.h
@@ -24,6 +24,9 @@
 	uint32_t apply_ms;	  /* see carob_catalog_options_t */
 	double link_mbps;	  /* rate of the own link; 0: not known */
 	uint32_t stop_grace_ms;	  /* time from SIGTERM to SIGKILL */
+	double cold_overage;	  /* see carob_pace_options_t; 0: off */
+	double cold_slack;	  /* see carob_pace_options_t */
+	uint32_t pace_instances;  /* see carob_pace_options_t */
 } flowd_settings_t;
 
 /**
--- a/tests/flow/catalog_test.c
+++ b/tests/flow/catalog_test.c
@@ -183,6 +183,47 @@
 	respond(fixture, &reply);
 }
 
+/* An entry without `cold_ms` is cold for the time that the configuration
+ * states for its service. Further reports of the same start must not begin this
+ * time anew, and without a stated time the entry stays unusable. */
+static void test_entry_without_cold_time(void)
+{
+	static const carob_catalog_service_t service = {
+		.name = {"desk", 4}, .cold_per_s = 3, .cold_start_ms = 8000};
+	fixture_t fixture;
+	carob_catalog_change_t changes[] = {
+		config_change(4, 2),
+		upstream_change("i-a", 3, false),
+	};
+	carob_catalog_change_t later = upstream_change("i-a", 12, false);
+	uint64_t cold_until_ns;
+
+	changes[0].config.services = &service;
+	changes[0].config.service_count = 1;
+	changes[1].upstream.cold_unstated = true;
+	later.upstream.cold_unstated = true;
+	fixture_init(&fixture);
+	respond_with(&fixture, 10, changes, 2);
+	CU_ASSERT_EQUAL_FATAL(fixture.upstreams.count, 1);
+	cold_until_ns = fixture.upstreams.items[0].cold_until_ns;
+	CU_ASSERT_EQUAL(cold_until_ns, fixture.clock.now_ns + 8000 * MS);
+	CU_ASSERT_EQUAL(
+		carob_route_table_service(&fixture.routes, 0)->cold_per_s, 3);
+	advance(&fixture, 500);
+	respond_with(&fixture, 12, &later, 1);
+	CU_ASSERT_EQUAL(fixture.upstreams.items[0].revision, 12);
+	CU_ASSERT_EQUAL(fixture.upstreams.items[0].cold_until_ns,
+			cold_until_ns);
+	advance(&fixture, 2000);
+	changes[0] = config_change(5, 13);
+	changes[1] = upstream_change("i-a", 14, false);
+	changes[1].upstream.cold_unstated = true;
+	respond_with(&fixture, 14, changes, 2);
+	CU_ASSERT_EQUAL(carob_catalog_counters(fixture.catalog)->unusable, 1);
+	CU_ASSERT_EQUAL(fixture.upstreams.items[0].state, CAROB_UPSTREAM_GONE);
+	fixture_dispose(&fixture);
+}
+
 /* Responds with a configuration and the upstreams i-a and i-b. */
 static void respond_listing(fixture_t *fixture)
 {
@@ -818,6 +859,7 @@
 int main(void)
 {
 	static const test_case_t cases[] = {
+		{"entry without a cold time", test_entry_without_cold_time},
 		{"watches after the listing", test_watch_after_listing},
 		{"an unresponsive watch times out within contact_ms",
 		 test_unresponsive_watch},
--- a/tests/flowd/settings_test.c
+++ b/tests/flowd/settings_test.c
@@ -36,6 +36,15 @@
 	 "relay_upstreams"},
 	{"{" REQUIRED ",\"link_mbps\":20.5}", 0, NULL},
 	{"{" REQUIRED ",\"link_mbps\":-1}", CAROB_EINVALID, "link_mbps"},
+	{"{" REQUIRED ",\"cold_overage\":1.5,\"cold_slack\":5,"
+	 "\"pace_instances\":28}",
+	 0, NULL},
+	{"{" REQUIRED ",\"cold_overage\":0.99}", CAROB_EINVALID,
+	 "cold_overage"},
+	{"{" REQUIRED ",\"cold_overage\":0}", CAROB_EINVALID, "cold_overage"},
+	{"{" REQUIRED ",\"cold_slack\":-1}", CAROB_EINVALID, "cold_slack"},
+	{"{" REQUIRED ",\"pace_instances\":0}", CAROB_EINVALID,
+	 "pace_instances"},
 	{"{" REQUIRED ",\"link_mbps\":\"20\"}", CAROB_EINVALID, "link_mbps"},
 	{"{" REQUIRED ",\"stop_grace_s\":1e300}", CAROB_EINVALID,
 	 "stop_grace_s"},
@@ -113,6 +122,8 @@
 	CU_ASSERT_EQUAL(settings.metrics.family, 0);
 	CU_ASSERT_EQUAL(settings.packets.port, 8172);
 	CU_ASSERT_FALSE(settings.first_start);
+	CU_ASSERT_EQUAL(settings.cold_overage, 0);
+	CU_ASSERT_EQUAL(settings.pace_instances, 150);
 	carob_json_doc_free(doc);
 }
 
--- a/tests/platform/items_test.c
+++ b/tests/platform/items_test.c
@@ -204,13 +204,17 @@
 		    "\"prefix\":\"/443/\",\"service\":\"one\"}],"
 		    "\"limits\":{\"idle_timeout_ms\":15000}}",
 		    3);
-	append_item(&body, "op/config",
-		    "{\"version\":9,\"routes\":[{\"hostname\":\"198.18.0.2\","
-		    "\"prefix\":\"/80/\",\"traffic_split\":[{\"service\":\"a\","
-		    "\"weight\":90},{\"service\":\"b\",\"weight\":10}]},"
-		    "{\"hostname\":\"198.18.0.3\",\"prefix\":\"/81/\","
-		    "\"service\":\"c\"}],\"limits\":{}}",
-		    4);
+	append_item(
+		&body, "op/config",
+		"{\"version\":9,\"routes\":[{\"hostname\":\"198.18.0.2\","
+		"\"prefix\":\"/80/\",\"traffic_split\":[{\"service\":\"a\","
+		"\"weight\":90},{\"service\":\"b\",\"weight\":10}]},"
+		"{\"hostname\":\"198.18.0.3\",\"prefix\":\"/81/\","
+		"\"service\":\"c\"}],\"limits\":{},\"services\":["
+		"{\"name\":\"a\",\"cold_per_s\":2.5,\"cold_start_s\":8},"
+		"{\"cold_per_s\":9},7,"
+		"{\"name\":\"b\",\"cold_per_s\":-1,\"cold_start_s\":\"x\"}]}",
+		4);
 	reply = finish_and_decode(&items, &body);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(reply);
 	if (!reply)
@@ -227,6 +231,17 @@
 	CU_ASSERT_EQUAL(reply->changes[1].config.routes[0].shares[1].weight,
 			10);
 	CU_ASSERT_EQUAL(reply->changes[1].config.routes[1].endpoint.port, 81);
+	/* Services without a name are left out, values that are out of range
+	 * count as not stated; neither makes the routes unusable. */
+	CU_ASSERT_EQUAL(reply->changes[0].config.service_count, 0);
+	CU_ASSERT_EQUAL_FATAL(reply->changes[1].config.service_count, 2);
+	CU_ASSERT_EQUAL(reply->changes[1].config.services[0].cold_per_s, 2.5);
+	CU_ASSERT_EQUAL(reply->changes[1].config.services[0].cold_start_ms,
+			8000);
+	CU_ASSERT_TRUE(carob_str_eq(reply->changes[1].config.services[1].name,
+				    CAROB_STR("b")));
+	CU_ASSERT_EQUAL(reply->changes[1].config.services[1].cold_per_s, 0);
+	CU_ASSERT_EQUAL(reply->changes[1].config.services[1].cold_start_ms, 0);
 	platform_items_free(items);
 }
 
