flow: slow start of cold, new and recovered upstreams

A cold upstream has the fewest flows, so placement by the least load sends it all new flows at once.

The new module pace limits new flows to such an upstream by a share of what warm upstreams of the service receive, which rises with time and with fast answers and falls with slow or missing ones. While a rate is announced, each instance of the zone sends one flow per window at most; the windows of all instances have random phases and keep the bound in sum. Placement passes over an upstream that may not receive a flow; if there is no other, the SYN is dropped while the caller sends copies, and refused at the last one. All is off without cold_overage.

--- a/include/carobtrail/log.h
+++ b/include/carobtrail/log.h
@@ -105,7 +105,11 @@
 	X(CAROB_EV_UPSTREAM_SILENCE, 5004, WARN,                               \
 	  "an upstream stopped responding: waiting flows are reset")           \
 	X(CAROB_EV_PROBES_DISTRUSTED, 5010, WARN,                              \
-	  "most probed upstreams are silent: failed probes are ignored")
+	  "most probed upstreams are silent: failed probes are ignored")       \
+	X(CAROB_EV_UPSTREAM_PACED, 5020, INFO,                                 \
+	  "slow start: new flows to an upstream are paced")                    \
+	X(CAROB_EV_UPSTREAM_NOT_PACED, 5021, INFO,                             \
+	  "slow start of an upstream has ended")
 
 /** An event of the catalogue. */
 typedef enum carob_log_event {
--- a/include/carobtrail/placement.h
+++ b/include/carobtrail/placement.h
@@ -14,6 +14,8 @@
  *   it has left SYNs or requests unanswered, is chosen only if there is no
  *   other. Among the others, one whose entry has lapsed is chosen only if none
  *   is ready.
+ * - An upstream that may not receive a new flow now (pace.h) is passed over,
+ *   unless the flow's SYN was sent to it before (`except`).
  */
 #ifndef CAROBTRAIL_PLACEMENT_H
 #define CAROBTRAIL_PLACEMENT_H
@@ -38,7 +40,7 @@
  * @param table the upstreams
  * @param query the flow
  * @return the index of the upstream, or CAROB_UPSTREAM_NONE if the service has
- *         none that accepts flows. `except` is returned only if no other
+ *         none that accepts flows now. `except` is returned only if no other
  *         upstream accepts flows.
  */
 carob_upstream_index_t
--- a/include/carobtrail/steering.h
+++ b/include/carobtrail/steering.h
@@ -10,6 +10,7 @@
 #include "carobtrail/flow_table.h"
 #include "carobtrail/histogram.h"
 #include "carobtrail/link_meter.h"
+#include "carobtrail/pace.h"
 #include "carobtrail/placement.h"
 #include "carobtrail/route_table.h"
 
@@ -37,7 +38,9 @@
 	X(CAROB_STEER_UNKNOWN_TAG, DROP, "unknown_tag")                        \
 	X(CAROB_STEER_NO_CONFIG, DROP, "no_configuration")                     \
 	X(CAROB_STEER_DEFERRED, DROP, "deferred")                              \
-	X(CAROB_STEER_FORGED, DROP, "forged")
+	X(CAROB_STEER_FORGED, DROP, "forged")                                  \
+	X(CAROB_STEER_PACED, RESET, "paced")                                   \
+	X(CAROB_STEER_PACE_DEFERRED, DROP, "pace_deferred")
 
 typedef enum carob_steer_reason {
 #define X(name, verdict, text) name,
@@ -103,6 +106,16 @@
 int carob_steering_new(carob_steering_t **out,
 		       const carob_steering_options_t *options);
 
+/**
+ * Sets or changes the pace of new flows; it is off before. `home_zone` is that
+ * of the steering.
+ */
+void carob_steering_set_pace(carob_steering_t *steering,
+			     const carob_pace_options_t *options);
+
+/** @return the pace of new flows, borrowed */
+const carob_pace_t *carob_steering_pace(const carob_steering_t *steering);
+
 /** Releases a steering with its flow table. */
 void carob_steering_free(carob_steering_t *steering);
 
--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -44,6 +44,35 @@
 /** No upstream. */
 #define CAROB_UPSTREAM_NONE CAROB_INDEX_END
 
+/**
+ * State of the slow start of an upstream; pace.h describes its use. Rates are
+ * those of this instance.
+ */
+typedef struct carob_upstream_pace {
+	bool known;	   /* the members below are about this incarnation */
+	bool ramping;	   /* its share is limited */
+	bool bounded;	   /* it is cold, and its service states a rate */
+	bool free;	   /* no warm upstream to compare it with */
+	uint8_t fast;	   /* answers since the last step of the share */
+	uint8_t slow;	   /* slow and missing answers since then */
+	float share;	   /* of what a warm upstream receives */
+	float floor_share; /* lower limit of the share at `floor_ns` */
+	float level;	   /* random number in [0, 1), set once per ramp */
+	float tokens;	   /* flows allowed at `refilled_ns` */
+	float per_s;	   /* tokens per second */
+	float open_max;	   /* open flows allowed */
+	float sent_per_s;  /* new flows per second, an average, at `sent_ns` */
+	uint32_t rise_ms;  /* time in which the lower limit rises to 1 */
+	uint64_t started_ms; /* incarnation */
+	uint64_t floor_ns;
+	uint64_t refilled_ns;
+	uint64_t sent_ns;
+	/** Windows in which one flow each is allowed while `bounded`. */
+	uint64_t window_ns; /* start of the first that is not used up */
+	uint64_t period_ns; /* from one start to the next */
+	uint64_t width_ns;
+} carob_upstream_pace_t;
+
 /** One upstream. */
 typedef struct carob_upstream {
 	bool used; /* false: a free element of the table */
@@ -73,6 +102,7 @@
 	uint64_t evidence_ns; /* time of the last such retransmission */
 	/** Until then, new flows are placed elsewhere if possible. */
 	uint64_t avoid_until_ns;
+	carob_upstream_pace_t pace;
 
 	/** What other instances report of it; see load_view.h. */
 	float others_load; /* their requests in progress, a time average */
@@ -93,6 +123,8 @@
 	carob_name_table_t zones;
 	bool reconciling;     /* see carob_upstream_table_begin_era */
 	uint64_t answered_ns; /* latest `answered_ns` of all upstreams */
+	/** Rises when an upstream changes its state, starts or is cold. */
+	uint64_t changes;
 } carob_upstream_table_t;
 
 /** @return the steering tag for an upstream's number; never 0 */
--- a/src/flow/decisions/placement.c
+++ b/src/flow/decisions/placement.c
@@ -1,6 +1,7 @@
 #include "carobtrail/placement.h"
 
 #include "carobtrail/failure_detector.h"
+#include "carobtrail/pace.h"
 #include "carobtrail/rng.h"
 
 /* Load of an idle flow, in requests in progress. */
@@ -34,6 +35,8 @@
 		return CANDIDATE_UNUSABLE;
 	if (index == query->except)
 		return CANDIDATE_EXCEPTED;
+	if (!carob_pace_allows(upstream, query->now_ns))
+		return CANDIDATE_UNUSABLE;
 	if (carob_failure_detector_is_avoided(upstream, query->now_ns))
 		return CANDIDATE_AVOIDED;
 	if (upstream->state == CAROB_UPSTREAM_LAPSED)
--- a/src/flow/steering/steering.c
+++ b/src/flow/steering/steering.c
@@ -9,6 +9,8 @@
  * shorter intervals were delayed in a queue on their way here, and are no
  * evidence that the upstream does not answer. */
 #define SYN_RETRANSMIT_MS_MIN 100
+/* Callers send two copies of a SYN. */
+#define SYN_COPY_LAST 2
 
 static const struct {
 	carob_steer_verdict_t verdict;
@@ -62,6 +64,21 @@
 	return carob_placement_choose(steering->upstreams, &query);
 }
 
+carob_steer_reason_t
+carob_steering_reason_unplaced(const carob_steering_t *steering,
+			       const carob_route_t *route,
+			       const carob_flow_packet_t *packet)
+{
+	carob_name_id_t service =
+		carob_route_choose_service(route, carob_flow_hash(packet));
+
+	if (!carob_pace_withholds(steering->upstreams, service,
+				  carob_steering_now_ns(steering)))
+		return CAROB_STEER_NO_UPSTREAM;
+	return packet->syn_copy < SYN_COPY_LAST ? CAROB_STEER_PACE_DEFERRED
+						: CAROB_STEER_PACED;
+}
+
 static carob_admission_verdict_t
 decide_admission(carob_steer_result_t *out, carob_steering_t *steering,
 		 const carob_flow_packet_t *packet, const carob_route_t *route,
@@ -92,7 +109,9 @@
 	carob_flow_t *flow;
 
 	if (to == CAROB_UPSTREAM_NONE) {
-		set_decision(out, steering, CAROB_STEER_NO_UPSTREAM);
+		set_decision(out, steering,
+			     carob_steering_reason_unplaced(steering, route,
+							    packet));
 		return;
 	}
 	admission = decide_admission(out, steering, packet, route,
@@ -104,6 +123,8 @@
 				     : CAROB_STEER_OVERLOADED);
 		return;
 	}
+	carob_pace_record_flow(&steering->pace, &steering->upstreams->items[to],
+			       carob_steering_now_ns(steering));
 	flow = carob_steering_add_flow(steering, packet, CAROB_FLOW_OPENING,
 				       to);
 	if (flow)
@@ -120,6 +141,8 @@
 				    carob_flow_t *flow)
 {
 	uint32_t now = carob_steering_now_ms(steering);
+	carob_upstream_t *tried = &steering->upstreams->items[flow->upstream];
+	carob_steer_reason_t reason;
 	carob_upstream_index_t to;
 
 	if (flow->phase != CAROB_FLOW_OPENING ||
@@ -134,14 +157,24 @@
 	}
 	carob_failure_detector_record_syn(steering->upstreams, flow->upstream,
 					  carob_steering_now_ns(steering));
+	carob_pace_record_missing(&steering->pace, tried,
+				  carob_steering_now_ns(steering));
 	carob_steering_check_silent(steering, flow->upstream);
-	out->passed_over = &steering->upstreams->items[flow->upstream];
+	out->passed_over = tried;
 	to = carob_steering_place(steering, route, packet, flow->upstream);
 	if (to == CAROB_UPSTREAM_NONE) {
-		carob_steering_remove_flow(steering, flow);
-		set_decision(out, steering, CAROB_STEER_NO_UPSTREAM);
+		reason =
+			carob_steering_reason_unplaced(steering, route, packet);
+		if (reason != CAROB_STEER_PACE_DEFERRED)
+			carob_steering_remove_flow(steering, flow);
+		set_decision(out, steering, reason);
 		return;
 	}
+	/* A copy of the SYN to the same upstream is no new flow there. */
+	if (to != flow->upstream)
+		carob_pace_record_flow(&steering->pace,
+				       &steering->upstreams->items[to],
+				       carob_steering_now_ns(steering));
 	carob_steering_bind_flow(steering, flow, to);
 	forward(out, steering, CAROB_STEER_PLACED_AGAIN, to);
 }
@@ -162,6 +195,9 @@
 		set_decision(out, steering, CAROB_STEER_NO_ROUTE);
 		return;
 	}
+	carob_pace_update(&steering->pace, steering->upstreams,
+			  steering->routes, steering->load_view,
+			  carob_steering_now_ns(steering));
 	if (flow && flow->first_seq == packet->seq) {
 		steer_retransmitted_syn(out, steering, packet, route, flow);
 		return;
@@ -301,11 +337,26 @@
 	return 0;
 }
 
+void carob_steering_set_pace(carob_steering_t *steering,
+			     const carob_pace_options_t *options)
+{
+	carob_pace_options_t own = *options;
+
+	own.home_zone = steering->home_zone;
+	carob_pace_configure(&steering->pace, &own);
+}
+
+const carob_pace_t *carob_steering_pace(const carob_steering_t *steering)
+{
+	return &steering->pace;
+}
+
 void carob_steering_free(carob_steering_t *steering)
 {
 	if (!steering)
 		return;
 	carob_admission_dispose(&steering->admission);
+	carob_pace_dispose(&steering->pace);
 	carob_flow_table_dispose(&steering->flows);
 	free(steering);
 }
--- a/src/flow/steering/steering_explain.c
+++ b/src/flow/steering/steering_explain.c
@@ -30,8 +30,10 @@
 	}
 	to = carob_steering_place(steering, route, packet, CAROB_UPSTREAM_NONE);
 	set_explanation(out, steering,
-			to == CAROB_UPSTREAM_NONE ? CAROB_STEER_NO_UPSTREAM
-						  : CAROB_STEER_PLACED,
+			to == CAROB_UPSTREAM_NONE
+				? carob_steering_reason_unplaced(steering,
+								 route, packet)
+				: CAROB_STEER_PLACED,
 			to);
 }
 
--- a/src/flow/steering/steering_flow.c
+++ b/src/flow/steering/steering_flow.c
@@ -116,6 +116,17 @@
 		steering->silent_upstream = upstream;
 }
 
+static void record_answer(carob_steering_t *steering,
+			  carob_upstream_index_t upstream)
+{
+	uint64_t now = carob_steering_now_ns(steering);
+
+	carob_pace_record_answer(&steering->pace, steering->upstreams,
+				 &steering->upstreams->items[upstream], now);
+	carob_failure_detector_record_answer(steering->upstreams, upstream,
+					     now);
+}
+
 /* The tag in the first packet after the SYN identifies the upstream that has
  * answered. That need not be the one that was tried last. */
 void carob_steering_open_flow(carob_steering_t *steering, carob_flow_t *flow,
@@ -134,9 +145,7 @@
 	carob_steering_set_pending(steering, flow, false);
 	carob_histogram_record(&steering->counters.connect_ms,
 			       now - flow->request_ms);
-	carob_failure_detector_record_answer(steering->upstreams,
-					     flow->upstream,
-					     carob_steering_now_ns(steering));
+	record_answer(steering, flow->upstream);
 }
 
 static void record_response(carob_steering_t *steering,
@@ -146,6 +155,10 @@
 	const carob_route_t *route = NULL;
 
 	carob_histogram_record(&steering->counters.answer_ms, ms);
+	carob_pace_record_response(&steering->pace,
+				   &steering->upstreams->items[flow->upstream],
+				   endpoint, ms,
+				   carob_steering_now_ns(steering));
 	(void)carob_route_table_find(&route, steering->routes, endpoint);
 	if (route && route->target_ms > 0)
 		carob_admission_record_response(
@@ -168,9 +181,7 @@
 	carob_steering_set_pending(steering, flow, false);
 	record_response(steering, flow,
 			carob_steering_now_ms(steering) - flow->request_ms);
-	carob_failure_detector_record_answer(steering->upstreams,
-					     flow->upstream,
-					     carob_steering_now_ns(steering));
+	record_answer(steering, flow->upstream);
 }
 
 static void record_retransmission(carob_steering_t *steering,
@@ -182,9 +193,13 @@
 	steering->counters.repeated_data++;
 	if (!flow->pending)
 		return;
-	if (!flow->repeated)
+	if (!flow->repeated) {
 		carob_failure_detector_record_request(steering->upstreams,
 						      flow->upstream, now);
+		carob_pace_record_missing(
+			&steering->pace,
+			&steering->upstreams->items[flow->upstream], now);
+	}
 	flow->repeated = true;
 	carob_failure_detector_record_stall(steering->upstreams, flow->upstream,
 					    now - waited_ms * CAROB_NS_PER_MS,
--- a/src/flow/steering/steering_priv.h
+++ b/src/flow/steering/steering_priv.h
@@ -20,6 +20,7 @@
 	const carob_load_view_t *load_view; /* NULL: load is not shared */
 	carob_flow_table_t flows;
 	carob_admission_t admission;
+	carob_pace_t pace;
 	/** Upstream whose flows are to be reset, or CAROB_UPSTREAM_NONE. */
 	carob_upstream_index_t silent_upstream;
 	carob_steering_counters_t counters;
@@ -49,6 +50,16 @@
 					    const carob_flow_packet_t *packet,
 					    carob_upstream_index_t except);
 
+/**
+ * @return why there was no upstream for the flow of a SYN: none accepts flows,
+ *         or all are paced. Callers send two copies of a SYN; a flow is refused
+ *         at the last one, and deferred before.
+ */
+carob_steer_reason_t
+carob_steering_reason_unplaced(const carob_steering_t *steering,
+			       const carob_route_t *route,
+			       const carob_flow_packet_t *packet);
+
 /**
  * Adds the flow of a packet to the flow table and to the load of its upstream.
  *
--- a/src/flow/tables/upstream_table.c
+++ b/src/flow/tables/upstream_table.c
@@ -29,6 +29,7 @@
 {
 	upstream->state = state;
 	upstream->changed_ns = now_ns;
+	table->changes++;
 	CAROB_LOG(CAROB_EV_UPSTREAM_STATE,
 		  CAROB_FIELD_CSTR("upstream", upstream->id),
 		  CAROB_FIELD_CSTR("state", carob_upstream_state_name(state)),
@@ -292,6 +293,8 @@
 	remove_from_indexes(table, index);
 	upstream->service = service;
 	upstream->zone = zone;
+	if (upstream->started_ms != entry->started_ms || entry->cold_ms > 0)
+		table->changes++;
 	copy_entry(upstream, entry, now_ns);
 	add_to_indexes(table, index);
 	upstream->revision = revision;
--- a/src/flowd/explain.c
+++ b/src/flowd/explain.c
@@ -62,13 +62,16 @@
 				const carob_upstream_t *upstream)
 {
 	return json_pack(
-		"{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:i}", "id", upstream->id,
-		"state", carob_upstream_state_name(upstream->state), "service",
+		"{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:i, s:b, s:b, s:f}", "id",
+		upstream->id, "state",
+		carob_upstream_state_name(upstream->state), "service",
 		carob_name_table_text(&table->services, upstream->service),
 		"zone", carob_name_table_text(&table->zones, upstream->zone),
 		"revision", (json_int_t)upstream->revision, "open_flows",
 		(int)upstream->open_flows, "pending", (int)upstream->pending,
-		"unanswered_syns", (int)upstream->unanswered_syns);
+		"unanswered_syns", (int)upstream->unanswered_syns, "paced",
+		upstream->pace.ramping, "bounded", upstream->pace.bounded,
+		"share", upstream->pace.ramping ? upstream->pace.share : 1.0);
 }
 
 static json_t *explanation_to_json(const carob_steer_explanation_t *explanation,
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -13,6 +13,7 @@
 #include "relay.h"
 #include "settings.h"
 
+#include <sodium.h>
 #include <string.h>
 #include <time.h>
 #include <unistd.h>
@@ -42,6 +43,7 @@
 	carob_upstream_table_t upstreams;
 	carob_link_meter_t link;
 	carob_steering_t *steering;
+	uint64_t pace_seed; /* see carob_pace_options_t */
 	carob_reader_table_t readers;
 	platform_store_t *store;
 	flowd_relay_t *relay; /* NULL: all is read from the platform */
@@ -221,6 +223,18 @@
 		  CAROB_FIELD_U64("stop_grace_ms", settings->stop_grace_ms));
 }
 
+static void set_pace(flowd_t *self, const flowd_settings_t *settings)
+{
+	carob_pace_options_t options = {
+		.cold_overage = settings->cold_overage,
+		.cold_slack = settings->cold_slack,
+		.instances = settings->pace_instances,
+		.seed = self->pace_seed,
+	};
+
+	carob_steering_set_pace(self->steering, &options);
+}
+
 /* Sockets and the home zone are only set at the start: whatever changes them
  * also restarts the process. */
 static int on_reload(carob_program_t *program, const carob_json_node_t *root)
@@ -237,6 +251,7 @@
 	self->settings.zone = settings.zone;
 	self->settings.stop_grace_ms = settings.stop_grace_ms;
 	log_settings(&settings);
+	set_pace(self, &settings);
 	carob_catalog_set_deadlines(self->catalog, settings.contact_ms,
 				    settings.apply_ms);
 	if (self->relay)
@@ -262,14 +277,20 @@
 static int start_steering(flowd_t *self)
 {
 	carob_steering_options_t options = CAROB_STEERING_OPTIONS_INIT;
+	int error;
 
 	options.clock = carob_kernel_clock(self->program.kernel);
 	options.routes = &self->routes;
 	options.upstreams = &self->upstreams;
 	options.home_zone = self->settings.zone;
+	self->pace_seed = (uint64_t)randombytes_random() << 32 |
+			  randombytes_random();
 	carob_link_meter_init(&self->link, self->settings.link_mbps);
 	options.link = &self->link;
-	return carob_steering_new(&self->steering, &options);
+	error = carob_steering_new(&self->steering, &options);
+	if (!error)
+		set_pace(self, &self->settings);
+	return error;
 }
 
 static void on_catalog_complete(carob_catalog_listener_t *listener)
--- a/src/flowd/metrics.c
+++ b/src/flowd/metrics.c
@@ -89,6 +89,19 @@
 	return write_metrics(out, metrics, CAROB_ARRAY_SIZE(metrics));
 }
 
+static int write_pace(carob_buf_t *out, const carob_pace_t *pace)
+{
+	const metric_t metrics[] = {
+		{"paced_upstreams", pace->paced},
+		{"pace_begun", pace->counters.begun},
+		{"pace_ended", pace->counters.ended},
+		{"pace_raised", pace->counters.raised},
+		{"pace_lowered", pace->counters.lowered},
+	};
+
+	return write_metrics(out, metrics, CAROB_ARRAY_SIZE(metrics));
+}
+
 static int write_frontend(carob_buf_t *out,
 			  const flowd_metrics_source_t *source)
 {
@@ -131,5 +144,7 @@
 		error = write_catalog(out, source);
 	if (!error)
 		error = write_upstreams(out, source->upstreams);
+	if (!error)
+		error = write_pace(out, carob_steering_pace(source->steering));
 	return error;
 }
