--- a/include/carobtrail/pace.h
+++ b/include/carobtrail/pace.h
@@ -33,7 +33,7 @@
 	double cold_overage; /* at least 1; 0: the pace is off */
 	double cold_slack;   /* new flows */
 	carob_name_id_t home_zone;
-	/** Number of instances while load is not shared; at least 1. */
+	/** Number of instances of a zone while load is not shared; at least 1. */
 	uint32_t instances;
 	/** Seed of the random phases; has to differ between instances. */
 	uint64_t seed;
--- a/src/flow/decisions/pace.c
+++ b/src/flow/decisions/pace.c
@@ -50,6 +50,9 @@
  * open within some second: 1 in a million. */
 #define LOG_EXCESS_MAX (-13.8)
 #define BISECTIONS     40
+/* Longest period, which a cold upstream does not reach; rates come from the
+ * configuration and may be as low as one likes. */
+#define PERIOD_S_MAX 1e6
 /* Instances that may have started since the number was learned. */
 #define INSTANCES_FACTOR 1.5
 /* For this long the larger one of the last two numbers of instances counts. */
@@ -153,6 +156,8 @@
 		period_s = certain_s;
 	if (period_s < instances / cold_per_s)
 		period_s = instances / cold_per_s;
+	if (period_s > PERIOD_S_MAX)
+		period_s = PERIOD_S_MAX;
 	period_ns = (uint64_t)(period_s * CAROB_NS_PER_S) + 1;
 	/* A phase that was random in the old period is so in the new one. */
 	if (state->period_ns == 0)
@@ -166,8 +171,7 @@
 				   (double)period_ns /
 				   (double)state->period_ns);
 	state->period_ns = period_ns;
-	state->width_ns = period_ns / 2 < WINDOW_NS_MAX ? period_ns / 2
-							: WINDOW_NS_MAX;
+	state->width_ns = period_ns < WINDOW_NS_MAX ? period_ns : WINDOW_NS_MAX;
 	if (!home)
 		state->width_ns = 0;
 }
