--- a/src/flow/steering/steering_flow.c
+++ b/src/flow/steering/steering_flow.c
@@ -137,6 +137,17 @@
 		steering->silent_upstream = upstream;
 }
 
+static void record_answer(carob_steering_t *steering,
+			  carob_upstream_index_t upstream)
+{
+	uint64_t now = carob_steering_now_ns(steering);
+
+	carob_pace_record_answer(&steering->pace, steering->upstreams,
+				 &steering->upstreams->items[upstream], now);
+	carob_failure_detector_record_answer(steering->upstreams, upstream,
+					     now);
+}
+
 /* The tag in the first packet after the SYN identifies the upstream that has
  * answered. That need not be the one that was tried last. */
 void carob_steering_open_flow(carob_steering_t *steering, carob_flow_t *flow,
@@ -155,9 +166,7 @@
 	carob_steering_set_pending(steering, flow, false);
 	carob_histogram_record(&steering->counters.connect_ms,
 			       now - flow->request_ms);
-	carob_failure_detector_record_answer(steering->upstreams,
-					     flow->upstream,
-					     carob_steering_now_ns(steering));
+	record_answer(steering, flow->upstream);
 }
 
 static void record_response(carob_steering_t *steering,
@@ -168,6 +177,10 @@
 	bool in_time = true; /* also without a target */
 
 	carob_histogram_record(&steering->counters.answer_ms, ms);
+	carob_pace_record_response(&steering->pace,
+				   &steering->upstreams->items[flow->upstream],
+				   endpoint, ms,
+				   carob_steering_now_ns(steering));
 	(void)carob_route_table_find(&route, steering->routes, endpoint);
 	if (route && route->target_ms > 0) {
 		in_time = ms <= route->target_ms;
@@ -194,9 +207,7 @@
 	carob_steering_set_pending(steering, flow, false);
 	record_response(steering, flow,
 			carob_steering_now_ms(steering) - flow->request_ms);
-	carob_failure_detector_record_answer(steering->upstreams,
-					     flow->upstream,
-					     carob_steering_now_ns(steering));
+	record_answer(steering, flow->upstream);
 }
 
 static void record_retransmission(carob_steering_t *steering,
@@ -212,6 +223,9 @@
 		carob_failure_detector_record_request(steering->upstreams,
 						      flow->upstream, now);
 		carob_steering_meter_answer(steering, flow->upstream, true);
+		carob_pace_record_missing(
+			&steering->pace,
+			&steering->upstreams->items[flow->upstream], now);
 	}
 	flow->repeated = true;
 	carob_failure_detector_record_stall(steering->upstreams, flow->upstream,
