--- a/tests/flow/pace_test.c
+++ b/tests/flow/pace_test.c
@@ -4,10 +4,14 @@
 
 #define S     CAROB_NS_PER_S
 #define SEEDS 4
-/* Few requests are missed, and these come in bursts: with 4 seeds, the noise is
- * as large as the difference that the test is about. */
-#define SEEDS_ZONE 16
-#define COLD_S	   8
+/* Few requests are missed, and these come in bursts: in 40 runs of a zone that
+ * starts, the difference to the same run without the pace had a standard
+ * deviation of 0.4, 2.0 and 1.8 % with 4, 28 and 135 instances, and a mean of
+ * -0.06, -1.0 and -3.4 %. So the mean of many runs is compared; with 4
+ * instances three standard errors of it are tolerated. */
+#define SEEDS_ZONE	 16
+#define MISSED_TOLERANCE 0.003
+#define COLD_S		 8
 /* An upstream that has just started takes this many times as long. */
 #define COLD_SLOWNESS 1.6
 #define OVERAGE	      1.5
@@ -322,7 +326,11 @@
 		CU_ASSERT_TRUE(found.recovered >= 0.8);
 		CU_ASSERT_EQUAL(found.refused, 0);
 		if (ramp_cases[i].event == ZONE_STARTS)
-			CU_ASSERT_TRUE(found.missed <= off.missed);
+			CU_ASSERT_TRUE(found.missed <=
+				       off.missed +
+					       (ramp_cases[i].instances == 4
+							? MISSED_TOLERANCE
+							: 0));
 	}
 }
 
