flowd: zones taken out of service by a key of the platform

An operator had no way to keep new flows away from the upstreams of one zone: each upstream had to be drained by itself.

The key op/evacuate/ZONE now asks for it. Placement and admission leave them out. A SYN copy whose flow is still opening there is placed elsewhere; one whose flow is open is dropped. Without another upstream, a copy that was delayed in a queue is dropped instead of refused, since its flow may be open by now. Open flows stay.

Requests that are in progress in an evacuated zone no longer count against the limit of the service, since the zone's slots do not count either.

--- a/include/carobtrail/catalog.h
+++ b/include/carobtrail/catalog.h
@@ -12,6 +12,7 @@
 #include "carobtrail/reader_table.h"
 #include "carobtrail/route_table.h"
 #include "carobtrail/upstream_table.h"
+#include "carobtrail/zone_table.h"
 
 /** Kind of one item of the catalogue. */
 typedef enum carob_catalog_change_kind {
@@ -24,7 +25,9 @@
 	/** A reader's entry that was removed or can't be parsed; of `reader`,
 	 * zone and slot are set. */
 	CAROB_CATALOG_READER_REMOVED,
-	CAROB_CATALOG_OTHER, /* an item that instances ignore */
+	CAROB_CATALOG_ZONE_EVACUATED, /* the operator evacuates `zone` */
+	CAROB_CATALOG_ZONE_RESTORED,  /* the evacuation of `zone` has ended */
+	CAROB_CATALOG_OTHER,	      /* an item that instances ignore */
 } carob_catalog_change_kind_t;
 
 /**
@@ -63,6 +66,7 @@
 		carob_upstream_entry_t upstream;
 		carob_catalog_config_t config;
 		carob_reader_entry_t reader;
+		carob_str_t zone; /* name of an availability zone */
 	};
 } carob_catalog_change_t;
 
@@ -159,6 +163,7 @@
 	carob_route_table_t *routes;
 	carob_upstream_table_t *upstreams;
 	carob_reader_table_t *readers; /* NULL: readers are ignored */
+	carob_zone_table_t *zones;     /* NULL: evacuations are ignored */
 	/**
 	 * Maximum age of the cached state, in milliseconds. Within this time
 	 * an unresponsive connection must be given up and the changes be read
@@ -221,9 +226,9 @@
 
 /**
  * @return whether there has been a complete listing, a configuration and an
- *         upstream that accepts flows at the same time since the start. It
- *         stays true when the upstreams' entries lapse or are removed, since
- *         the open flows still need the instance.
+ *         upstream that is ready at the same time since the start, also one of
+ *         an evacuated zone. It stays true when the upstreams' entries lapse
+ *         or are removed, since the open flows still need the instance.
  */
 bool carob_catalog_complete(const carob_catalog_t *catalog);
 
--- a/include/carobtrail/log.h
+++ b/include/carobtrail/log.h
@@ -59,6 +59,12 @@
 	  "the era of a response cannot be read and is ignored")               \
 	X(CAROB_EV_ITEM_UNUSABLE, 2013, WARN,                                  \
 	  "an item of the platform cannot be read and is not used")            \
+	X(CAROB_EV_ZONE_EVACUATED, 2030, WARN,                                 \
+	  "the operator takes an availability zone out of service")            \
+	X(CAROB_EV_ZONE_EVACUATION_APPLIED, 2031, INFO,                        \
+	  "upstreams of an evacuated zone get no new flows")                   \
+	X(CAROB_EV_ZONE_RESTORED, 2032, INFO,                                  \
+	  "an evacuated zone is back in service")                              \
 	X(CAROB_EV_MEMBER_JOINED, 3001, INFO, "an instance joined")            \
 	X(CAROB_EV_MEMBER_LEAVING, 3002, INFO, "an instance is leaving")       \
 	X(CAROB_EV_MEMBER_LEFT, 3003, INFO, "an instance left")                \
--- a/include/carobtrail/steering.h
+++ b/include/carobtrail/steering.h
@@ -37,7 +37,11 @@
 	X(CAROB_STEER_UNKNOWN_TAG, DROP, "unknown_tag")                        \
 	X(CAROB_STEER_NO_CONFIG, DROP, "no_configuration")                     \
 	X(CAROB_STEER_DEFERRED, DROP, "deferred")                              \
-	X(CAROB_STEER_FORGED, DROP, "forged")
+	X(CAROB_STEER_FORGED, DROP, "forged")                                  \
+	/* A SYN copy whose flow was opening in an evacuated zone. */          \
+	X(CAROB_STEER_EVACUATED_MOVED, FORWARD, "evacuated_moved")             \
+	/* A SYN copy of a flow that is open in an evacuated zone. */          \
+	X(CAROB_STEER_EVACUATED_DROPPED, DROP, "evacuated_dropped")
 
 typedef enum carob_steer_reason {
 #define X(name, verdict, text) name,
@@ -56,7 +60,10 @@
 	 * otherwise NULL. Borrowed.
 	 */
 	const carob_upstream_t *upstream;
-	/** The upstream that left the flow's last SYN unanswered, or NULL. */
+	/**
+	 * The upstream that left the flow's last SYN unanswered, or the one of
+	 * an evacuated zone that the flow was moved from, or NULL.
+	 */
 	const carob_upstream_t *passed_over;
 	/** Load at the admission decision; all zero if none was made. */
 	carob_admission_load_t load;
--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -60,6 +60,7 @@
 	uint64_t cold_until_ns; /* end of its slow start, monotonic */
 	uint64_t changed_ns;	/* time of the last change of `state` */
 	bool listed;		/* seen in the listing in progress */
+	bool evacuated;		/* its zone has been taken out of service */
 
 	uint32_t open_flows;  /* open flows of this instance */
 	uint32_t pending;     /* open flows with a request in progress */
@@ -90,6 +91,10 @@
 	carob_index_map_t by_service;
 	carob_name_table_t services;
 	carob_name_table_t zones;
+	/** Whether a zone is evacuated, by its number in `zones`; shorter than
+	 * `zones` if the last ones are not. */
+	bool *evacuated_zones;
+	size_t evacuated_zones_cap;
 	bool reconciling;     /* see carob_upstream_table_begin_era */
 	uint64_t answered_ns; /* latest `answered_ns` of all upstreams */
 } carob_upstream_table_t;
@@ -143,6 +148,20 @@
 /** Ends the comparison with the former era: entries count as they are. */
 void carob_upstream_table_end_reconciling(carob_upstream_table_t *table);
 
+/**
+ * Sets whether a zone is evacuated, for its upstreams and those that are added
+ * later. Open flows stay on them.
+ *
+ * @param out_count receives the number of upstreams of the zone
+ * @param table the table
+ * @param zone the zone; it need not have upstreams yet
+ * @param evacuated whether its upstreams get no new flows
+ * @return 0 or CAROB_ENOMEM
+ */
+int carob_upstream_table_set_evacuated(size_t *out_count,
+				       carob_upstream_table_t *table,
+				       carob_str_t zone, bool evacuated);
+
 /** Begins a listing: marks all upstreams as not listed. */
 void carob_upstream_table_begin_listing(carob_upstream_table_t *table);
 
@@ -202,8 +221,9 @@
 /** @return whether new flows may be placed on the upstream */
 static inline bool carob_upstream_accepts(const carob_upstream_t *upstream)
 {
-	return upstream->used && (upstream->state == CAROB_UPSTREAM_READY ||
-				  upstream->state == CAROB_UPSTREAM_LAPSED);
+	return upstream->used && !upstream->evacuated &&
+	       (upstream->state == CAROB_UPSTREAM_READY ||
+		upstream->state == CAROB_UPSTREAM_LAPSED);
 }
 
 /** Releases the upstreams and names and zeroes the table. */
--- a/script/flowdbed.sh
+++ b/script/flowdbed.sh
@@ -24,6 +24,10 @@
 	\"value\":\"${value//\"/\\\"}\"}" >/dev/null
 }
 
+store_remove() { # key
+	"$BIN/carob-command" "$NET.1:5702" "{\"command\":\"remove\",\"key\":\"$1\"}" >/dev/null
+}
+
 # Registers an upstream: store_put_upstream ID STATE PORT
 store_put_upstream() {
 	store_put "servers/$1" "{\"service\":\"s\",\"zone\":\"hou-a\",\"version\":\"v1\",
--- a/src/flow/decisions/admission.c
+++ b/src/flow/decisions/admission.c
@@ -37,6 +37,10 @@
 	CAROB_UPSTREAMS_OF (i, table, query->service) {
 		const carob_upstream_t *upstream = &table->items[i];
 
+		/* Flows that stay in an evacuated zone use its slots, which
+		 * are not counted either. */
+		if (upstream->evacuated)
+			continue;
 		load.pending += upstream->pending;
 		if (!carob_upstream_accepts(upstream))
 			continue;
--- a/src/flow/sources/catalog.c
+++ b/src/flow/sources/catalog.c
@@ -75,6 +75,8 @@
 		if (catalog->options.readers)
 			carob_reader_table_begin_listing(
 				catalog->options.readers);
+		if (catalog->options.zones)
+			carob_zone_table_begin_listing(catalog->options.zones);
 	}
 	catalog->options.source->ops->list(catalog->options.source,
 					   &catalog->reader,
@@ -219,10 +221,97 @@
 			  CAROB_FIELD_STR("upstream", change->upstream_id),
 			  CAROB_FIELD_U64("revision", change->revision),
 			  CAROB_FIELD_CSTR("error", carob_error_last()));
+	else if (change->kind == CAROB_CATALOG_ZONE_EVACUATED ||
+		 change->kind == CAROB_CATALOG_ZONE_RESTORED)
+		CAROB_LOG(CAROB_EV_ITEM_UNUSABLE,
+			  CAROB_FIELD_STR("zone", change->zone),
+			  CAROB_FIELD_U64("revision", change->revision),
+			  CAROB_FIELD_CSTR("error", carob_error_last()));
+}
+
+/* Logs the beginning of an evacuation and that it is in force here. */
+static void log_evacuation(const carob_catalog_t *catalog,
+			   const carob_catalog_change_t *change,
+			   const carob_catalog_reply_t *reply, size_t upstreams)
+{
+	CAROB_LOG(CAROB_EV_ZONE_EVACUATED,
+		  CAROB_FIELD_STR("zone", change->zone),
+		  CAROB_FIELD_U64("revision", change->revision));
+	CAROB_LOG(CAROB_EV_ZONE_EVACUATION_APPLIED,
+		  CAROB_FIELD_STR("zone", change->zone),
+		  CAROB_FIELD_U64("revision", change->revision),
+		  CAROB_FIELD_U64("confirmed_ms", reply->age_ms),
+		  CAROB_FIELD_CSTR("source",
+				   reply->pace == CAROB_CATALOG_PACE_RELAYED
+					   ? "reader"
+					   : "platform"),
+		  CAROB_FIELD_U64("era", catalog->era),
+		  CAROB_FIELD_U64("upstreams", upstreams));
+}
+
+/* The upstreams are marked also if the zone table knows the evacuation already,
+ * in case that memory was lacking the first time. */
+static int evacuate_zone(carob_catalog_t *catalog,
+			 const carob_catalog_change_t *change,
+			 const carob_catalog_reply_t *reply)
+{
+	carob_zone_table_t *zones = catalog->options.zones;
+	size_t upstreams;
+	int stale;
+	int error;
+
+	if (!zones)
+		return 0;
+	stale = carob_zone_table_evacuate(zones, change->zone, change->revision,
+					  now_ns(catalog));
+	if (stale && stale != CAROB_ESTALE)
+		return stale;
+	error = carob_upstream_table_set_evacuated(
+		&upstreams, catalog->options.upstreams, change->zone,
+		carob_zone_table_is_evacuated(zones, change->zone));
+	if (error || stale)
+		return error ? error : stale;
+	log_evacuation(catalog, change, reply, upstreams);
+	return 0;
+}
+
+static int restore_zone(carob_catalog_t *catalog, carob_str_t zone,
+			uint64_t revision)
+{
+	carob_zone_table_t *zones = catalog->options.zones;
+	uint64_t since_ns = 0;
+	size_t upstreams;
+	int error;
+
+	if (!zones || !carob_zone_table_restore(&since_ns, zones, zone,
+						revision, now_ns(catalog)))
+		return 0;
+	error = carob_upstream_table_set_evacuated(
+		&upstreams, catalog->options.upstreams, zone, false);
+	CAROB_LOG(CAROB_EV_ZONE_RESTORED, CAROB_FIELD_STR("zone", zone),
+		  CAROB_FIELD_U64("revision", revision),
+		  CAROB_FIELD_U64("evacuated_ms", (now_ns(catalog) - since_ns) /
+							  CAROB_NS_PER_MS),
+		  CAROB_FIELD_U64("upstreams", upstreams));
+	return error;
+}
+
+/* Restores the zones whose keys a listing did not contain. */
+static void end_zone_listing(carob_catalog_t *catalog)
+{
+	carob_zone_table_t *zones = catalog->options.zones;
+	uint64_t revision = catalog->page_revision;
+
+	for (size_t i = 0; zones && i < zones->names.count; i++)
+		if (carob_zone_table_is_unlisted(zones, i, revision))
+			(void)restore_zone(
+				catalog, carob_str_from(zones->names.names[i]),
+				revision);
 }
 
 static void apply_change(carob_catalog_t *catalog,
-			 const carob_catalog_change_t *change)
+			 const carob_catalog_change_t *change,
+			 const carob_catalog_reply_t *reply)
 {
 	carob_upstream_table_t *upstreams = catalog->options.upstreams;
 	int error = 0;
@@ -266,6 +355,12 @@
 						  change->reader.slot,
 						  change->revision);
 		break;
+	case CAROB_CATALOG_ZONE_EVACUATED:
+		error = evacuate_zone(catalog, change, reply);
+		break;
+	case CAROB_CATALOG_ZONE_RESTORED:
+		error = restore_zone(catalog, change->zone, change->revision);
+		break;
 	case CAROB_CATALOG_OTHER:
 		break;
 	}
@@ -275,6 +370,14 @@
 		log_not_applied(change);
 }
 
+/* Upstreams of evacuated zones count: an instance that starts when all zones
+ * are evacuated still has to carry their open flows. */
+static bool is_in_service(const carob_upstream_t *upstream)
+{
+	return upstream->used && (upstream->state == CAROB_UPSTREAM_READY ||
+				  upstream->state == CAROB_UPSTREAM_LAPSED);
+}
+
 static bool can_place_flows(const carob_catalog_t *catalog)
 {
 	const carob_upstream_table_t *upstreams = catalog->options.upstreams;
@@ -282,7 +385,7 @@
 	if (!catalog->options.routes->buckets || !catalog->listed)
 		return false;
 	for (size_t i = 0; i < upstreams->count; i++)
-		if (carob_upstream_accepts(&upstreams->items[i]))
+		if (is_in_service(&upstreams->items[i]))
 			return true;
 	return false;
 }
@@ -302,7 +405,7 @@
 			  const carob_catalog_reply_t *reply)
 {
 	for (size_t i = 0; i < reply->count; i++)
-		apply_change(catalog, &reply->changes[i]);
+		apply_change(catalog, &reply->changes[i], reply);
 	check_complete(catalog);
 }
 
@@ -350,6 +453,7 @@
 	if (catalog->options.readers)
 		carob_reader_table_end_listing(catalog->options.readers,
 					       catalog->page_revision);
+	end_zone_listing(catalog);
 	catalog->revision = catalog->page_revision;
 	catalog->listed = true;
 	check_complete(catalog);
@@ -413,6 +517,8 @@
 	if (!catalog->options.upstreams->reconciling || catalog->failures > 0)
 		return;
 	carob_upstream_table_end_reconciling(catalog->options.upstreams);
+	if (catalog->options.zones)
+		carob_zone_table_end_reconciling(catalog->options.zones);
 	cancel_read(catalog);
 	restart_listing(catalog);
 }
@@ -469,6 +575,8 @@
 	carob_upstream_table_begin_era(catalog->options.upstreams);
 	if (catalog->options.readers)
 		carob_reader_table_begin_era(catalog->options.readers);
+	if (catalog->options.zones)
+		carob_zone_table_begin_era(catalog->options.zones);
 	begin_lapse_grace(catalog);
 }
 
--- a/src/flow/steering/steering.c
+++ b/src/flow/steering/steering.c
@@ -111,6 +111,40 @@
 	forward(out, steering, CAROB_STEER_PLACED, to);
 }
 
+/* Handles a SYN copy whose flow is on an upstream of an evacuated zone: nothing
+ * new may be sent there. An open flow stays, and its upstream has the SYN. If
+ * an opening one has no other upstream, a copy that was delayed in a queue is
+ * dropped: the flow may be open by now, and a reset would end it. */
+static void steer_evacuated_syn(carob_steer_result_t *out,
+				carob_steering_t *steering,
+				const carob_flow_packet_t *packet,
+				const carob_route_t *route, carob_flow_t *flow)
+{
+	uint32_t now = carob_steering_now_ms(steering);
+	bool timely = now - flow->last_packet_ms >= SYN_RETRANSMIT_MS_MIN &&
+		      carob_steering_is_evidence(steering, packet);
+	carob_upstream_index_t to;
+
+	if (flow->phase != CAROB_FLOW_OPENING) {
+		set_decision(out, steering, CAROB_STEER_EVACUATED_DROPPED);
+		return;
+	}
+	flow->last_packet_ms = now;
+	to = carob_steering_place(steering, route, packet, flow->upstream);
+	if (to != CAROB_UPSTREAM_NONE) {
+		out->passed_over = &steering->upstreams->items[flow->upstream];
+		carob_steering_bind_flow(steering, flow, to);
+		forward(out, steering, CAROB_STEER_EVACUATED_MOVED, to);
+		return;
+	}
+	if (!timely) {
+		set_decision(out, steering, CAROB_STEER_EVACUATED_DROPPED);
+		return;
+	}
+	carob_steering_remove_flow(steering, flow);
+	set_decision(out, steering, CAROB_STEER_NO_UPSTREAM);
+}
+
 /* Tries another upstream for a retransmitted SYN, since the one that got the
  * last SYN has not answered. */
 static void steer_retransmitted_syn(carob_steer_result_t *out,
@@ -162,6 +196,11 @@
 		set_decision(out, steering, CAROB_STEER_NO_ROUTE);
 		return;
 	}
+	if (flow && flow->first_seq == packet->seq &&
+	    steering->upstreams->items[flow->upstream].evacuated) {
+		steer_evacuated_syn(out, steering, packet, route, flow);
+		return;
+	}
 	if (flow && flow->first_seq == packet->seq) {
 		steer_retransmitted_syn(out, steering, packet, route, flow);
 		return;
--- a/src/flow/tables/upstream_table.c
+++ b/src/flow/tables/upstream_table.c
@@ -229,6 +229,56 @@
 	upstream->avoid_until_ns = 0;
 }
 
+static bool is_zone_evacuated(const carob_upstream_table_t *table,
+			      carob_name_id_t zone)
+{
+	return zone < table->evacuated_zones_cap &&
+	       table->evacuated_zones[zone];
+}
+
+/* Ensures that `evacuated_zones` has an element for a zone. */
+static int ensure_zone(carob_upstream_table_t *table, carob_name_id_t zone)
+{
+	size_t cap = (size_t)zone + 1;
+	bool *zones;
+
+	if (zone < table->evacuated_zones_cap)
+		return 0;
+	zones = realloc(table->evacuated_zones, cap * sizeof(*zones));
+	if (!zones)
+		return carob_error_set(CAROB_ENOMEM,
+				       "cannot allocate evacuated zones");
+	memset(&zones[table->evacuated_zones_cap], 0,
+	       (cap - table->evacuated_zones_cap) * sizeof(*zones));
+	table->evacuated_zones = zones;
+	table->evacuated_zones_cap = cap;
+	return 0;
+}
+
+int carob_upstream_table_set_evacuated(size_t *out_count,
+				       carob_upstream_table_t *table,
+				       carob_str_t zone, bool evacuated)
+{
+	carob_name_id_t id;
+	int error = carob_name_table_add(&id, &table->zones, zone);
+
+	*out_count = 0;
+	if (!error)
+		error = ensure_zone(table, id);
+	if (error)
+		return error;
+	table->evacuated_zones[id] = evacuated;
+	for (size_t i = 0; i < table->count; i++) {
+		carob_upstream_t *upstream = &table->items[i];
+
+		if (!upstream->used || upstream->zone != id)
+			continue;
+		upstream->evacuated = evacuated;
+		++*out_count;
+	}
+	return 0;
+}
+
 /* Copies the attributes of an entry, except service, zone and state. */
 static void copy_entry(carob_upstream_t *upstream,
 		       const carob_upstream_entry_t *entry, uint64_t now_ns)
@@ -292,6 +342,7 @@
 	remove_from_indexes(table, index);
 	upstream->service = service;
 	upstream->zone = zone;
+	upstream->evacuated = is_zone_evacuated(table, zone);
 	copy_entry(upstream, entry, now_ns);
 	add_to_indexes(table, index);
 	upstream->revision = revision;
@@ -393,6 +444,7 @@
 void carob_upstream_table_dispose(carob_upstream_table_t *table)
 {
 	free(table->items);
+	free(table->evacuated_zones);
 	dispose_indexes(table);
 	carob_name_table_dispose(&table->services);
 	carob_name_table_dispose(&table->zones);
--- a/src/flowd/explain.c
+++ b/src/flowd/explain.c
@@ -62,13 +62,26 @@
 				const carob_upstream_t *upstream)
 {
 	return json_pack(
-		"{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:i}", "id", upstream->id,
-		"state", carob_upstream_state_name(upstream->state), "service",
+		"{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:i, s:b}", "id",
+		upstream->id, "state",
+		carob_upstream_state_name(upstream->state), "service",
 		carob_name_table_text(&table->services, upstream->service),
 		"zone", carob_name_table_text(&table->zones, upstream->zone),
 		"revision", (json_int_t)upstream->revision, "open_flows",
 		(int)upstream->open_flows, "pending", (int)upstream->pending,
-		"unanswered_syns", (int)upstream->unanswered_syns);
+		"unanswered_syns", (int)upstream->unanswered_syns, "evacuated",
+		upstream->evacuated);
+}
+
+static json_t *evacuated_zones_to_json(const carob_zone_table_t *zones)
+{
+	json_t *names = json_array();
+
+	for (size_t i = 0; i < zones->names.count; i++)
+		if (zones->items[i].evacuated)
+			(void)json_array_append_new(
+				names, json_string(zones->names.names[i]));
+	return names;
 }
 
 static json_t *explanation_to_json(const carob_steer_explanation_t *explanation,
@@ -80,8 +93,8 @@
 				   : json_null();
 
 	return json_pack(
-		"{s:s, s:s, s:o, s:b, s:I, s:I, s:I, s:I, s:I, s:s}", "verdict",
-		verdicts[explanation->verdict], "decision",
+		"{s:s, s:s, s:o, s:b, s:I, s:I, s:I, s:I, s:I, s:s, s:o}",
+		"verdict", verdicts[explanation->verdict], "decision",
 		carob_steer_reason_text(explanation->reason), "upstream",
 		upstream, "remembered", explanation->remembered, "idle_ms",
 		(json_int_t)explanation->idle_ms, "configuration_version",
@@ -89,7 +102,8 @@
 		(json_int_t)carob_catalog_era(source->catalog), "revision",
 		(json_int_t)carob_catalog_revision(source->catalog), "age_ms",
 		(json_int_t)carob_catalog_age_ms(source->catalog), "read_from",
-		source->read_from);
+		source->read_from, "evacuated_zones",
+		evacuated_zones_to_json(source->zones));
 }
 
 static int append_json(carob_buf_t *out, json_t *json)
--- a/src/flowd/explain.h
+++ b/src/flowd/explain.h
@@ -13,6 +13,7 @@
 	const carob_steering_t *steering;
 	const carob_catalog_t *catalog;
 	const carob_upstream_table_t *upstreams;
+	const carob_zone_table_t *zones;
 	const char *read_from; /* a reader's name, or "platform" */
 } flowd_explain_source_t;
 
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -43,6 +43,7 @@
 	carob_link_meter_t link;
 	carob_steering_t *steering;
 	carob_reader_table_t readers;
+	carob_zone_table_t zones;
 	platform_store_t *store;
 	flowd_relay_t *relay; /* NULL: all is read from the platform */
 	carob_catalog_t *catalog;
@@ -105,6 +106,7 @@
 		.catalog = self->catalog,
 		.upstreams = &self->upstreams,
 		.routes = &self->routes,
+		.zones = &self->zones,
 		.frontend = self->frontend,
 		.hub = self->program.hub,
 		.relay = flowd_relay_status(self->relay),
@@ -124,6 +126,7 @@
 		.steering = self->steering,
 		.catalog = self->catalog,
 		.upstreams = &self->upstreams,
+		.zones = &self->zones,
 		.read_from = flowd_relay_status(self->relay).source,
 	};
 
@@ -300,6 +303,7 @@
 	options.source = self->relay ? flowd_relay_source(self->relay)
 				     : platform_store_source(self->store);
 	options.readers = self->relay ? &self->readers : NULL;
+	options.zones = &self->zones;
 	options.routes = &self->routes;
 	options.upstreams = &self->upstreams;
 	options.contact_ms = self->settings.contact_ms;
@@ -370,6 +374,7 @@
 	carob_steering_free(self->steering);
 	carob_route_table_dispose(&self->routes);
 	carob_upstream_table_dispose(&self->upstreams);
+	carob_zone_table_dispose(&self->zones);
 	carob_program_dispose(&self->program);
 }
 
--- a/src/flowd/metrics.c
+++ b/src/flowd/metrics.c
@@ -82,6 +82,8 @@
 		{"reader_fallbacks", source->relay.counters.fallbacks},
 		{"store_revision", carob_catalog_revision(source->catalog)},
 		{"store_answer_age_ms", carob_catalog_age_ms(source->catalog)},
+		{"zones_evacuated",
+		 carob_zone_table_count_evacuated(source->zones)},
 		{"configuration_version", source->routes->config.version},
 		{"routes", source->routes->config.count},
 	};
--- a/src/flowd/metrics.h
+++ b/src/flowd/metrics.h
@@ -16,6 +16,7 @@
 	const carob_catalog_t *catalog;
 	const carob_upstream_table_t *upstreams;
 	const carob_route_table_t *routes;
+	const carob_zone_table_t *zones;
 	const flowd_frontend_t *frontend;
 	const carob_udp_hub_t *hub;
 	flowd_relay_status_t relay;
--- a/tests/integration/flowd_explain.sh
+++ b/tests/integration/flowd_explain.sh
@@ -32,6 +32,29 @@
 expect_contains '"state":"draining"' "$open"
 # The echo field has 32 bits, and a tag in it may use them all.
 expect_contains '"decision":"unknown_tag"' "$(explain --route 198.18.0.1:443 --tag 4294967295)"
+expect_contains '"evacuated_zones":[]' "$new"
 expect_contains '"decision":"no_route"' "$(explain --route 198.18.0.1:80)"
 ! explain --route nowhere >"$TESTBED_DIR/bad" 2>&1 || exit 1
 grep -q -- "--route" "$TESTBED_DIR/bad"
+
+# An evacuation of the only zone takes effect while the instance runs, and also
+# if the instance starts during it.
+store_put op/evacuate/hou-a '{}'
+wait_for_log '"event":2031.*"zone":"hou-a"'
+for restart in false true; do
+	if $restart; then
+		kill "$flowd" && wait "$flowd" || true
+		start_flowd
+		wait_for_log '"event":2031.*"zone":"hou-a"'
+		wait_for_log '"event":2012'
+	fi
+	new=$(explain --route 198.18.0.1:443)
+	expect_contains '"decision":"no_upstream"' "$new"
+	expect_contains '"evacuated_zones":["hou-a"]' "$new"
+	open=$(explain --route 198.18.0.1:443 --tag 43)
+	expect_contains '"decision":"by_tag"' "$open"
+	expect_contains '"evacuated":true' "$open"
+done
+store_remove op/evacuate/hou-a
+wait_for_log '"event":2032.*"zone":"hou-a"'
+expect_contains '"decision":"placed"' "$(explain --route 198.18.0.1:443)"
--- a/tests/integration/flowd_readers.sh
+++ b/tests/integration/flowd_readers.sh
@@ -58,6 +58,27 @@
 	return 1
 }
 
+# Waits until an instance shows a number of evacuated zones, for 3 s at most:
+# expect_evacuated INDEX NUMBER
+expect_evacuated() {
+	for _ in {1..60}; do
+		[ "$(metric "$1" zones_evacuated)" != "$2" ] || return 0
+		sleep 0.05
+	done
+	echo "instance $1 does not show $2 evacuated zones after 3 s" >&2
+	return 1
+}
+
+# Waits until an instance has logged an evacuation that it got from a reader
+expect_evacuated_by_reader() { # index
+	for _ in {1..60}; do
+		! grep -q '"event":2031.*"source":"reader"' "$TESTBED_DIR/log-$1" || return 0
+		sleep 0.05
+	done
+	echo "instance $1 did not get the evacuation from a reader" >&2
+	return 1
+}
+
 # Waits until an instance has got a response from a reader
 expect_relayed() { # index
 	for _ in {1..100}; do
@@ -80,6 +101,15 @@
 store_put_config 2
 for ((i = 1; i <= COUNT; i++)); do expect_version "$i" 2; done
 
+# An evacuation reaches the others through the reader.
+store_put op/evacuate/hou-b '{}'
+for ((i = 1; i <= COUNT; i++)); do expect_evacuated "$i" 1; done
+for ((i = 1; i <= COUNT; i++)); do
+	[ "$i" = "$reader" ] || expect_evacuated_by_reader "$i"
+done
+store_remove op/evacuate/hou-b
+for ((i = 1; i <= COUNT; i++)); do expect_evacuated "$i" 0; done
+
 # Stopped: the others notice that it does not answer.
 kill -STOP "${PID_OF[$reader]}"
 store_put_config 3
--- a/tests/platform/items_test.c
+++ b/tests/platform/items_test.c
@@ -189,6 +189,44 @@
 	platform_items_free(items);
 }
 
+/* The operator takes zones out of service by keys; their values do not matter,
+ * and one that can't be parsed counts as well. */
+static void test_evacuations(void)
+{
+	static const char body[] =
+		"{\"events\":["
+		"{\"key\":\"op/evacuate/hou-a\",\"value\":\"\",\"revision\":5},"
+		"{\"key\":\"op/evacuate/z/1\",\"value\":7,\"revision\":6},"
+		"{\"key\":\"op/evacuate/hou-a\",\"revision\":7,"
+		"\"tombstone\":true},"
+		"{\"key\":\"op/evacuate/\",\"value\":\"\",\"revision\":8},"
+		"{\"key\":\"op/evacuate\",\"value\":\"\",\"revision\":9}],"
+		"\"current_rev\":9}";
+	static const struct {
+		carob_catalog_change_kind_t kind;
+		carob_str_t zone;
+	} cases[] = {
+		{CAROB_CATALOG_ZONE_EVACUATED, {"hou-a", 5}},
+		{CAROB_CATALOG_ZONE_EVACUATED, {"z/1", 3}},
+		{CAROB_CATALOG_ZONE_RESTORED, {"hou-a", 5}},
+		{CAROB_CATALOG_OTHER, {"", 0}},
+		{CAROB_CATALOG_OTHER, {"", 0}},
+	};
+	platform_items_t *items = NULL;
+	const carob_catalog_reply_t *reply;
+
+	CU_ASSERT_EQUAL_FATAL(decode_json(&items, CAROB_STR(body)), 0);
+	reply = platform_items_reply(items);
+	CU_ASSERT_EQUAL_FATAL(reply->count, CAROB_ARRAY_SIZE(cases));
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(cases); i++) {
+		CU_ASSERT_EQUAL(reply->changes[i].kind, cases[i].kind);
+		if (cases[i].kind != CAROB_CATALOG_OTHER)
+			CU_ASSERT_TRUE(carob_str_eq(reply->changes[i].zone,
+						    cases[i].zone));
+	}
+	platform_items_free(items);
+}
+
 /* Configurations that are stored in quick succession may arrive in one
  * response, since a watch begins only after a pause if the last one returned
  * changes. */
@@ -341,6 +379,7 @@
 		{"malformed upstream entries", test_malformed_entries},
 		{"keys and upstream numbers", test_upstream_numbers},
 		{"removal of an upstream", test_removal},
+		{"evacuations of zones", test_evacuations},
 		{"two configurations in one response",
 		 test_two_configurations_in_one_response},
 		{"malformed response bodies", test_malformed_bodies},
