--- a/src/flowd/explain.c
+++ b/src/flowd/explain.c
@@ -63,7 +63,7 @@
 {
 	return json_pack(
 		"{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:i, s:b, s:b, s:f, s:f, "
-		"s:f}",
+		"s:f, s:b}",
 		"id", upstream->id, "state",
 		carob_upstream_state_name(upstream->state), "service",
 		carob_name_table_text(&table->services, upstream->service),
@@ -74,7 +74,8 @@
 		upstream->pace.ramping, "bounded", upstream->pace.bounded,
 		"share", upstream->pace.ramping ? upstream->pace.share : 1.0,
 		"others_load", (double)upstream->others_load, "others_late",
-		(double)upstream->others_late);
+		(double)upstream->others_late, "evacuated",
+		upstream->evacuated);
 }
 
 static json_t *load_to_json(const carob_load_status_t *load)
@@ -86,6 +87,17 @@
 			 (json_int_t)load->all_instances);
 }
 
+static json_t *evacuated_zones_to_json(const carob_zone_table_t *zones)
+{
+	json_t *names = json_array();
+
+	for (size_t i = 0; i < zones->names.count; i++)
+		if (zones->items[i].evacuated)
+			(void)json_array_append_new(
+				names, json_string(zones->names.names[i]));
+	return names;
+}
+
 static json_t *explanation_to_json(const carob_steer_explanation_t *explanation,
 				   const flowd_explain_source_t *source)
 {
@@ -95,7 +107,7 @@
 				   : json_null();
 
 	return json_pack(
-		"{s:s, s:s, s:o, s:b, s:I, s:I, s:I, s:I, s:I, s:s, s:o}",
+		"{s:s, s:s, s:o, s:b, s:I, s:I, s:I, s:I, s:I, s:s, s:o, s:o}",
 		"verdict", verdicts[explanation->verdict], "decision",
 		carob_steer_reason_text(explanation->reason), "upstream",
 		upstream, "remembered", explanation->remembered, "idle_ms",
@@ -104,7 +116,8 @@
 		(json_int_t)carob_catalog_era(source->catalog), "revision",
 		(json_int_t)carob_catalog_revision(source->catalog), "age_ms",
 		(json_int_t)carob_catalog_age_ms(source->catalog), "read_from",
-		source->read_from, "load", load_to_json(&source->load));
+		source->read_from, "load", load_to_json(&source->load),
+		"evacuated_zones", evacuated_zones_to_json(source->zones));
 }
 
 static int append_json(carob_buf_t *out, json_t *json)
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -46,6 +46,7 @@
 	carob_steering_t *steering;
 	uint64_t pace_seed; /* see carob_pace_options_t */
 	carob_reader_table_t readers;
+	carob_zone_table_t zones;
 	platform_store_t *store;
 	flowd_relay_t *relay; /* NULL: all is read from the platform */
 	flowd_load_t *load;   /* NULL: load is not shared */
@@ -110,6 +111,7 @@
 		.catalog = self->catalog,
 		.upstreams = &self->upstreams,
 		.routes = &self->routes,
+		.zones = &self->zones,
 		.frontend = self->frontend,
 		.hub = self->program.hub,
 		.relay = flowd_relay_status(self->relay),
@@ -131,6 +133,7 @@
 		.steering = self->steering,
 		.catalog = self->catalog,
 		.upstreams = &self->upstreams,
+		.zones = &self->zones,
 		.read_from = flowd_relay_status(self->relay).source,
 		.load = carob_load_sharing_status(
 			flowd_load_sharing(self->load)),
@@ -358,6 +361,7 @@
 	options.source = self->relay ? flowd_relay_source(self->relay)
 				     : platform_store_source(self->store);
 	options.readers = self->relay ? &self->readers : NULL;
+	options.zones = &self->zones;
 	options.routes = &self->routes;
 	options.upstreams = &self->upstreams;
 	options.contact_ms = self->settings.contact_ms;
@@ -429,6 +433,7 @@
 	carob_steering_free(self->steering);
 	carob_route_table_dispose(&self->routes);
 	carob_upstream_table_dispose(&self->upstreams);
+	carob_zone_table_dispose(&self->zones);
 	carob_program_dispose(&self->program);
 }
 
