upstream table: index of upstreams by service and zone

Placement that samples a few candidates of a zone needs random access to its upstreams; the index by service is a chain. Each service has groups, one for each zone, in the order of zone names, with the members in the order of their numbers, so that all instances find the same member at the same position.

A put into a group of 3,000 members moves at most 12 KB.

--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -51,6 +51,7 @@
 	uint32_t tag; /* its steering tag; never 0 */
 	carob_name_id_t service;
 	carob_name_id_t zone;
+	uint32_t group; /* its group, CAROB_INDEX_END if it is in none */
 	carob_endpoint_t endpoint;
 	uint32_t slots;
 	uint64_t started_ms;
@@ -78,6 +79,35 @@
 	float others_late; /* share of their answers that were late or missing */
 } carob_upstream_t;
 
+/**
+ * The load of a group as placement measured it last (placement.h). It is a
+ * cache, so placement writes it also through a const table.
+ */
+typedef struct carob_group_load {
+	uint64_t measured_ns; /* monotonic time; 0: never */
+	double slots;	      /* of the members that can be chosen */
+	double per_slot;      /* smoothed requests in progress per slot */
+	double late;	      /* mean share of late or missing responses */
+	double own_pending;   /* smoothed requests of this instance */
+	double own_idle;      /* smoothed load of its idle flows */
+	/** Share of the own zone's new flows that are placed here instead. */
+	double spill;
+	int rank;    /* best rank of a member; see placement_priv.h */
+	bool silent; /* several members leave SYNs unanswered, none answers */
+} carob_group_load_t;
+
+/** The upstreams of one service and zone that are neither draining nor gone. */
+typedef struct carob_upstream_group {
+	carob_name_id_t service;
+	carob_name_id_t zone;
+	uint32_t next; /* next group of the service, CAROB_INDEX_END: none */
+	/** In the order of their numbers, which all instances know alike. */
+	carob_upstream_index_t *members;
+	uint32_t count;
+	uint32_t cap;
+	carob_group_load_t load;
+} carob_upstream_group_t;
+
 /** All upstreams; zero-initialise it. */
 typedef struct carob_upstream_table {
 	carob_upstream_t *items;
@@ -88,6 +118,10 @@
 	carob_index_map_t by_id;
 	carob_index_map_t by_tag;
 	carob_index_map_t by_service;
+	carob_upstream_group_t *groups;
+	size_t group_count;
+	uint32_t *group_heads; /* first group of each service */
+	size_t group_head_count;
 	carob_name_table_t services;
 	carob_name_table_t zones;
 	bool reconciling;     /* see carob_upstream_table_begin_era */
@@ -199,6 +233,26 @@
 	     index != CAROB_UPSTREAM_NONE;                                     \
 	     index = carob_upstream_table_next_of_service(table, index))
 
+/**
+ * @return the first group of a service in the order of zone names, or NULL;
+ *         borrowed until an upstream is added
+ */
+carob_upstream_group_t *
+carob_upstream_table_first_group(const carob_upstream_table_t *table,
+				 carob_name_id_t service);
+
+/** @return the next group of the same service, or NULL */
+carob_upstream_group_t *
+carob_upstream_table_next_group(const carob_upstream_table_t *table,
+				const carob_upstream_group_t *group);
+
+/** Iterates over the groups of one service, in the order of zone names. */
+#define CAROB_UPSTREAM_GROUPS_OF(group, table, service)                        \
+	for (carob_upstream_group_t *group =                                   \
+		     carob_upstream_table_first_group(table, service);         \
+	     group != NULL;                                                    \
+	     group = carob_upstream_table_next_group(table, group))
+
 /** @return whether new flows may be placed on the upstream */
 static inline bool carob_upstream_accepts(const carob_upstream_t *upstream)
 {
--- a/src/flow/tables/upstream_table.c
+++ b/src/flow/tables/upstream_table.c
@@ -3,6 +3,7 @@
 #include "carobtrail/errors.h"
 #include "carobtrail/log.h"
 #include "carobtrail/rng.h"
+#include "flow/tables/upstream_groups.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -29,6 +30,10 @@
 {
 	upstream->state = state;
 	upstream->changed_ns = now_ns;
+	if (state == CAROB_UPSTREAM_DRAINING || state == CAROB_UPSTREAM_GONE)
+		carob_upstream_group_leave(
+			table,
+			(carob_upstream_index_t)(upstream - table->items));
 	CAROB_LOG(CAROB_EV_UPSTREAM_STATE,
 		  CAROB_FIELD_CSTR("upstream", upstream->id),
 		  CAROB_FIELD_CSTR("state", carob_upstream_state_name(state)),
@@ -214,6 +219,7 @@
 	upstream = &table->items[*out];
 	memcpy(upstream->id, id.ptr, id.len);
 	upstream->state = CAROB_UPSTREAM_GONE;
+	upstream->group = CAROB_INDEX_END;
 	upstream->used = true;
 	add_to_indexes(table, *out);
 	return 0;
@@ -271,6 +277,7 @@
 	carob_name_id_t service;
 	carob_name_id_t zone;
 	carob_upstream_t *upstream;
+	uint32_t group;
 	int error;
 
 	if (index != CAROB_UPSTREAM_NONE) {
@@ -284,12 +291,16 @@
 				     entry->service);
 	if (!error)
 		error = carob_name_table_add(&zone, &table->zones, entry->zone);
+	if (!error)
+		error = carob_upstream_group_reserve(&group, table, service,
+						     zone);
 	if (!error && index == CAROB_UPSTREAM_NONE)
 		error = add_upstream(&index, table, entry->id);
 	if (error)
 		return error;
 	upstream = &table->items[index];
 	remove_from_indexes(table, index);
+	carob_upstream_group_leave(table, index);
 	upstream->service = service;
 	upstream->zone = zone;
 	copy_entry(upstream, entry, now_ns);
@@ -297,6 +308,8 @@
 	upstream->revision = revision;
 	if (upstream->state != state)
 		set_state(table, upstream, state, now_ns);
+	if (state == CAROB_UPSTREAM_READY)
+		carob_upstream_group_join(table, group, index);
 	return 0;
 }
 
@@ -372,6 +385,7 @@
 			 carob_upstream_index_t index)
 {
 	remove_from_indexes(table, index);
+	carob_upstream_group_leave(table, index);
 	table->items[index].used = false;
 	if (index < table->first_free)
 		table->first_free = index;
@@ -394,6 +408,7 @@
 {
 	free(table->items);
 	dispose_indexes(table);
+	carob_upstream_groups_dispose(table);
 	carob_name_table_dispose(&table->services);
 	carob_name_table_dispose(&table->zones);
 	memset(table, 0, sizeof(*table));
--- a/tests/flow/upstream_table_test.c
+++ b/tests/flow/upstream_table_test.c
@@ -1,5 +1,6 @@
 #include "carobtrail/errors.h"
 #include "carobtrail/log.h"
+#include "carobtrail/rng.h"
 #include "flow/flow_fixture.h"
 
 #include <stdio.h>
@@ -179,6 +180,128 @@
 	carob_upstream_table_dispose(&table);
 }
 
+#define GROUP_STEPS   4000
+#define GROUP_NUMBERS 60
+
+/* Applies one random change: an entry of either service and any zone, a drain,
+ * a removal, a lapse, or the removal of what is gone. */
+static void change_at_random(carob_upstream_table_t *table, carob_rng_t *rng,
+			     uint64_t revision)
+{
+	static const char *const zones[] = {"a", "b", "c"};
+	uint32_t number = 1 + carob_rng_below(rng, GROUP_NUMBERS);
+	uint32_t action = carob_rng_below(rng, 8);
+	char id[16];
+	carob_upstream_entry_t entry = make_entry(
+		id, number, carob_rng_below(rng, 2) ? "slots" : "yard");
+
+	entry.zone = carob_str_from(zones[carob_rng_below(rng, 3)]);
+	entry.draining = action == 0;
+	if (action < 5) {
+		CU_ASSERT_EQUAL_FATAL(carob_upstream_table_put(table, &entry,
+							       revision,
+							       FIXTURE_START),
+				      0);
+		return;
+	}
+	if (action < 7)
+		carob_upstream_table_remove(table, entry.id, revision,
+					    action == 5 ? CAROB_UPSTREAM_LAPSED
+							: CAROB_UPSTREAM_GONE,
+					    FIXTURE_START);
+	else
+		carob_upstream_table_forget_gone(table, 0, FIXTURE_START + 1);
+}
+
+/* Counts the members of all groups of a service that are in the right one and
+ * in the order of their numbers. */
+static size_t count_members(const carob_upstream_table_t *table,
+			    carob_name_id_t service)
+{
+	size_t count = 0;
+
+	CAROB_UPSTREAM_GROUPS_OF(group, table, service)
+	{
+		uint64_t last = 0;
+
+		for (uint32_t i = 0; i < group->count; i++) {
+			const carob_upstream_t *upstream =
+				&table->items[group->members[i]];
+
+			if (upstream->used && upstream->service == service &&
+			    upstream->zone == group->zone &&
+			    upstream->number > last)
+				count++;
+			last = upstream->number;
+		}
+	}
+	return count;
+}
+
+/* An upstream that is missing from its group gets no flows at all, and one that
+ * stays in a wrong group gets those of another service. */
+static void test_groups(void)
+{
+	CAROB_CLEANUP(carob_upstream_table_dispose)
+	carob_upstream_table_t table = {0};
+	carob_rng_t rng;
+	size_t wrong = 0;
+
+	carob_rng_init(&rng, 1);
+	for (uint64_t step = 1; step <= GROUP_STEPS; step++) {
+		change_at_random(&table, &rng, step);
+		for (size_t k = 0; k < table.services.count; k++) {
+			carob_name_id_t service = (carob_name_id_t)k;
+			size_t expected = 0;
+
+			CAROB_UPSTREAMS_OF (i, &table, service)
+				expected +=
+					carob_upstream_accepts(&table.items[i]);
+			if (count_members(&table, service) != expected)
+				wrong++;
+		}
+	}
+	CU_ASSERT_EQUAL(wrong, 0);
+}
+
+/* Instances hear of upstreams and zones in different orders, and a copy of a
+ * SYN at another instance has to find the same candidates. */
+static void test_group_order(void)
+{
+	static const char *const zones[] = {"c", "a", "b", "a", "c", "b"};
+	carob_upstream_table_t tables[2] = {0};
+	carob_upstream_group_t *groups[2];
+
+	for (uint32_t i = 0; i < 2 * CAROB_ARRAY_SIZE(zones); i++) {
+		uint32_t table = i % 2;
+		uint32_t k = table ? i / 2 : 5 - i / 2;
+		char id[16];
+		carob_upstream_entry_t entry = make_entry(id, k + 1, "slots");
+
+		entry.zone = carob_str_from(zones[k]);
+		CU_ASSERT_EQUAL(carob_upstream_table_put(&tables[table], &entry,
+							 i + 1, FIXTURE_START),
+				0);
+	}
+	for (uint32_t i = 0; i < 2; i++)
+		groups[i] = carob_upstream_table_first_group(&tables[i], 0);
+	while (groups[0] && groups[1]) {
+		CU_ASSERT_EQUAL_FATAL(groups[0]->count, 2);
+		CU_ASSERT_EQUAL_FATAL(groups[1]->count, 2);
+		for (uint32_t m = 0; m < 2; m++)
+			CU_ASSERT_EQUAL(
+				tables[0].items[groups[0]->members[m]].number,
+				tables[1].items[groups[1]->members[m]].number);
+		for (uint32_t i = 0; i < 2; i++)
+			groups[i] = carob_upstream_table_next_group(&tables[i],
+								    groups[i]);
+	}
+	CU_ASSERT_PTR_NULL(groups[0]);
+	CU_ASSERT_PTR_NULL(groups[1]);
+	carob_upstream_table_dispose(&tables[0]);
+	carob_upstream_table_dispose(&tables[1]);
+}
+
 int main(void)
 {
 	static const test_case_t cases[] = {
@@ -191,6 +314,9 @@
 		{"a shared tag identifies the upstream that is not gone",
 		 test_shared_tag},
 		{"refuses an id that is too long", test_id_too_long},
+		{"groups hold the upstreams that accept flows", test_groups},
+		{"groups have the same order at all instances",
+		 test_group_order},
 	};
 
 	carob_log_configure("test", NULL, CAROB_LOG_ERROR, NULL);
