placement: choose by the load of all instances when it is known

Each instance compared only its own requests. With 28 or 135 instances in front of 240 slots it has none or one on an upstream, so the margin for other zones was never reached, and full upstreams were chosen while others had free slots.

With a view, a zone is chosen first: a share of the flows, which grows and falls slowly, leaves the own zone while requests wait longer there. Then the better of two upstreams is taken. Both go by the hash of the flow, so that instances with the same view do not choose the same upstream.

--- a/include/carobtrail/placement.h
+++ b/include/carobtrail/placement.h
@@ -14,6 +14,19 @@
  *   it has left SYNs or requests unanswered, is chosen only if there is no
  *   other. Among the others, one whose entry has lapsed is chosen only if none
  *   is ready.
+ *
+ * With a view (load_view.h) the load is that of all instances, and the choice
+ * has two steps, both by the hash of the flow:
+ *
+ * - The own zone is chosen while it has free slots. When its requests wait
+ *   longer than those of another zone, a share of the flows goes there, which
+ *   grows until both wait alike. A zone in which several upstreams leave SYNs
+ *   unanswered and none answers gets a few flows only.
+ * - Of two upstreams of the zone, the one with less load per slot is chosen.
+ *   Late or missing responses make an upstream cost more.
+ *
+ * When the view has expired, the load of this instance times the number of
+ * instances of its zone stands for the load of all, as long as that is known.
  */
 #ifndef CAROBTRAIL_PLACEMENT_H
 #define CAROBTRAIL_PLACEMENT_H
--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -88,6 +88,7 @@
 	double slots;	      /* of the members that can be chosen */
 	double per_slot;      /* smoothed requests in progress per slot */
 	double late;	      /* mean share of late or missing responses */
+	double others_load;   /* mean load that others report of a member */
 	double own_pending;   /* smoothed requests of this instance */
 	double own_idle;      /* smoothed load of its idle flows */
 	/** Share of the own zone's new flows that are placed here instead. */
--- a/src/flow/decisions/placement.c
+++ b/src/flow/decisions/placement.c
@@ -1,10 +1,8 @@
-#include "carobtrail/placement.h"
+#include "flow/decisions/placement_priv.h"
 
 #include "carobtrail/failure_detector.h"
 #include "carobtrail/rng.h"
 
-/* Load of an idle flow, in requests in progress. */
-#define IDLE_FLOW_WEIGHT 0.1
 /* How much lower the load in another zone has to be, in requests per slot. At
  * this margin one request waits for each slot of the own zone. */
 #define OTHER_ZONE_MARGIN 1.0
@@ -41,11 +39,22 @@
 	return CANDIDATE_GOOD;
 }
 
-static double idle_load(const carob_upstream_t *upstream)
+int carob_placement_rank(const carob_upstream_t *upstream,
+			 carob_upstream_index_t index,
+			 const carob_placement_query_t *query)
+{
+	candidate_class_t class = class_of(upstream, index, query);
+
+	return class == CANDIDATE_UNUSABLE ? CAROB_PLACEMENT_UNUSABLE
+					   : (int)class;
+}
+
+double carob_placement_idle_load(const carob_upstream_t *upstream)
 {
 	if (upstream->open_flows <= upstream->pending)
 		return 0;
-	return IDLE_FLOW_WEIGHT * (upstream->open_flows - upstream->pending);
+	return CAROB_PLACEMENT_IDLE_WEIGHT *
+	       (upstream->open_flows - upstream->pending);
 }
 
 /* Idle load per slot of the own zone. It is taken as an estimate for other
@@ -63,20 +72,27 @@
 		if (!carob_upstream_accepts(upstream) ||
 		    upstream->zone != query->home_zone)
 			continue;
-		load += idle_load(upstream);
+		load += carob_placement_idle_load(upstream);
 		slots += upstream->slots;
 	}
 	return slots > 0 ? load / slots : 0;
 }
 
+double carob_placement_slots(const carob_upstream_t *upstream,
+			     const carob_placement_query_t *query)
+{
+	double slots = upstream->slots;
+
+	return query->now_ns < upstream->cold_until_ns ? slots * COLD_FACTOR
+						       : slots;
+}
+
 static double cost_of(const carob_upstream_t *upstream,
 		      const carob_placement_query_t *query, double home_idle)
 {
-	double slots = upstream->slots;
-	double load = upstream->pending + idle_load(upstream);
+	double slots = carob_placement_slots(upstream, query);
+	double load = upstream->pending + carob_placement_idle_load(upstream);
 
-	if (query->now_ns < upstream->cold_until_ns)
-		slots *= COLD_FACTOR;
 	if (upstream->zone == query->home_zone)
 		return load / slots;
 	return load / slots + home_idle + OTHER_ZONE_MARGIN;
@@ -91,9 +107,9 @@
 	return a->tie_break > b->tie_break;
 }
 
-carob_upstream_index_t
-carob_placement_choose(const carob_upstream_table_t *table,
-		       const carob_placement_query_t *query)
+static carob_upstream_index_t
+choose_by_own_load(const carob_upstream_table_t *table,
+		   const carob_placement_query_t *query)
 {
 	carob_upstream_index_t best_index = CAROB_UPSTREAM_NONE;
 	candidate_t best = {.class = CANDIDATE_UNUSABLE};
@@ -116,3 +132,12 @@
 	}
 	return best_index;
 }
+
+carob_upstream_index_t
+carob_placement_choose(const carob_upstream_table_t *table,
+		       const carob_placement_query_t *query)
+{
+	return carob_placement_is_shared(query)
+		       ? carob_placement_choose_shared(table, query)
+		       : choose_by_own_load(table, query);
+}
--- a/tests/flow/flow_fixture.h
+++ b/tests/flow/flow_fixture.h
@@ -25,6 +25,9 @@
 	uint32_t pending;
 	uint32_t cold_ms;
 	bool draining;
+	float others_load;
+	float others_late;
+	uint32_t unanswered_syns; /* since an answer at FIXTURE_START */
 } fixture_upstream_t;
 
 /**
@@ -59,6 +62,11 @@
 	index = carob_upstream_table_by_id(table, entry.id);
 	table->items[index].open_flows = row->open_flows;
 	table->items[index].pending = row->pending;
+	table->items[index].others_load = row->others_load;
+	table->items[index].others_late = row->others_late;
+	table->items[index].unanswered_syns = row->unanswered_syns;
+	table->items[index].answered_ns = FIXTURE_START;
+	table->items[index].evidence_ns = FIXTURE_START + row->unanswered_syns;
 }
 
 /** @return the id of an upstream, "" for CAROB_UPSTREAM_NONE */
