--- a/include/carobtrail/failure_detector.h
+++ b/include/carobtrail/failure_detector.h
@@ -44,6 +44,14 @@
 				       carob_upstream_index_t index,
 				       uint64_t now_ns);
 
+/**
+ * Records that an attempt to connect to the upstream has ended without an
+ * answer. It is no evidence of silence: the upstream may have reset it.
+ */
+void carob_failure_detector_record_refusal(carob_upstream_table_t *table,
+					   carob_upstream_index_t index,
+					   uint64_t now_ns);
+
 /**
  * Records that a caller has retransmitted a request to the upstream. Call it
  * once for each request, at its first retransmission.
--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -105,6 +105,10 @@
 	uint64_t answered_ns; /* time of a caller's last acknowledgement */
 	/** SYNs that callers have retransmitted since `answered_ns`. */
 	uint32_t unanswered_syns;
+	/** Attempts since `answered_ns` after which callers tried again at
+	 * once; see attempt_table.h. */
+	uint32_t refused_syns;
+	uint64_t refused_ns; /* time of the last of them */
 	/** Requests that callers have retransmitted since `answered_ns`. */
 	uint32_t repeated_requests;
 	bool stalled;	      /* a request was retransmitted for too long */
@@ -124,6 +128,7 @@
  * cache, so placement writes it also through a const table.
  */
 typedef struct carob_group_load {
+	uint64_t refusals;    /* of the table, at the last measurement */
 	uint64_t measured_ns; /* monotonic time; 0: never */
 	double slots;	      /* of the members that can be chosen */
 	double per_slot;      /* smoothed requests in progress per slot */
@@ -173,6 +178,7 @@
 	uint64_t answered_ns; /* latest `answered_ns` of all upstreams */
 	/** Rises when an upstream changes its state, starts or is cold. */
 	uint64_t changes;
+	uint64_t refusals; /* rises with the first refused SYN of an upstream */
 } carob_upstream_table_t;
 
 /** @return the steering tag for an upstream's number; never 0 */
--- a/src/flow/decisions/failure_detector.c
+++ b/src/flow/decisions/failure_detector.c
@@ -44,6 +44,7 @@
 			  CAROB_FIELD_U64("failures",
 					  upstream->unanswered_syns));
 	upstream->unanswered_syns = 0;
+	upstream->refused_syns = 0;
 	upstream->repeated_requests = 0;
 	upstream->stalled = false;
 	upstream->avoid_until_ns = 0;
@@ -80,6 +81,15 @@
 		log_avoided(upstream);
 }
 
+void carob_failure_detector_record_refusal(carob_upstream_table_t *table,
+					   carob_upstream_index_t index,
+					   uint64_t now_ns)
+{
+	if (table->items[index].refused_syns++ == 0)
+		table->refusals++;
+	table->items[index].refused_ns = now_ns;
+}
+
 void carob_failure_detector_record_request(carob_upstream_table_t *table,
 					   carob_upstream_index_t index,
 					   uint64_t now_ns)
--- a/src/flow/decisions/shared_placement.c
+++ b/src/flow/decisions/shared_placement.c
@@ -139,7 +139,7 @@
 static double late_of(const shared_query_t *query,
 		      const carob_upstream_t *upstream)
 {
-	if (upstream->unanswered_syns > 0)
+	if (upstream->unanswered_syns > 0 || upstream->refused_syns > 0)
 		return 1;
 	return query->is_fresh ? upstream->others_late : 0;
 }
@@ -191,8 +191,10 @@
 		const carob_upstream_t *upstream =
 			&table->items[group->members[i]];
 
-		if (upstream->unanswered_syns > 0 &&
-		    upstream->evidence_ns > since_ns)
+		if ((upstream->unanswered_syns > 0 &&
+		     upstream->evidence_ns > since_ns) ||
+		    (upstream->refused_syns > 0 &&
+		     upstream->refused_ns > since_ns))
 			count++;
 	}
 	return count;
@@ -260,6 +262,7 @@
 		per_slot += FREE_PER_SLOT;
 	set_per_slot(load, per_slot, step_s, is_first);
 	load->measured_ns = query->flow->now_ns;
+	load->refusals = query->table->refusals;
 }
 
 static double wait_of(const carob_group_load_t *load)
@@ -323,7 +326,9 @@
 	if (!first)
 		return;
 	passed_ns = query->flow->now_ns - first->load.measured_ns;
+	/* A refused caller tries again within milliseconds. */
 	if (first->load.measured_ns != 0 &&
+	    first->load.refusals == query->table->refusals &&
 	    passed_ns < measure_interval_ns(query))
 		return;
 	flow.except = CAROB_UPSTREAM_NONE;
--- a/src/flow/steering/steering.c
+++ b/src/flow/steering/steering.c
@@ -9,6 +9,9 @@
  * shorter intervals were delayed in a queue on their way here, and are no
  * evidence that the upstream does not answer. */
 #define SYN_RETRANSMIT_MS_MIN 100
+/* A caller whose attempt was reset tries again at once; one that had no answer
+ * gives an attempt up after 1.4 s, and copies its SYN after 200 ms. */
+#define ATTEMPT_MS_MAX 200
 /* Callers send two copies of a SYN. */
 #define SYN_COPY_LAST 2
 
@@ -99,15 +102,54 @@
 	return carob_admission_decide(&steering->admission, &out->load, &query);
 }
 
+/* Time from a SYN to the caller's next packet on nearly all flows: an earlier
+ * second attempt is that of another user of the same caller. */
+#define CONNECT_QUANTILE 0.1
+
+/* Finds out whether the last attempt of the caller was reset by its upstream,
+ * which this instance does not see: it has not opened, and the caller tries
+ * again sooner than a SYN without an answer would let it.
+ * @return the upstream of that attempt, or CAROB_UPSTREAM_NONE */
+static carob_upstream_index_t
+find_refused_attempt(carob_steering_t *steering,
+		     const carob_flow_packet_t *packet)
+{
+	uint32_t now = carob_steering_now_ms(steering);
+	carob_flow_packet_t key = *packet;
+	carob_attempt_t attempt;
+	const carob_flow_t *flow;
+	uint64_t connect_ms;
+
+	if (!carob_attempt_table_exchange(&attempt, &steering->attempts, packet,
+					  now) ||
+	    packet->syn_copy > 0 || now - attempt.ms >= ATTEMPT_MS_MAX)
+		return CAROB_UPSTREAM_NONE;
+	connect_ms = carob_histogram_quantile(&steering->counters.connect_ms,
+					      CONNECT_QUANTILE);
+	if (connect_ms == 0 || now - attempt.ms < connect_ms)
+		return CAROB_UPSTREAM_NONE;
+	key.caller = attempt.caller;
+	flow = carob_flow_table_find(&steering->flows, &key);
+	if (!flow || flow->phase != CAROB_FLOW_OPENING)
+		return CAROB_UPSTREAM_NONE;
+	carob_failure_detector_record_refusal(steering->upstreams,
+					      flow->upstream,
+					      carob_steering_now_ns(steering));
+	return flow->upstream;
+}
+
 static void steer_new_syn(carob_steer_result_t *out, carob_steering_t *steering,
 			  const carob_flow_packet_t *packet,
 			  const carob_route_t *route)
 {
-	carob_upstream_index_t to = carob_steering_place(
-		steering, route, packet, CAROB_UPSTREAM_NONE);
+	carob_upstream_index_t except = CAROB_UPSTREAM_NONE;
 	carob_admission_verdict_t admission;
+	carob_upstream_index_t to;
 	carob_flow_t *flow;
 
+	if (steering->load_view)
+		except = find_refused_attempt(steering, packet);
+	to = carob_steering_place(steering, route, packet, except);
 	if (to == CAROB_UPSTREAM_NONE) {
 		set_decision(out, steering,
 			     carob_steering_reason_unplaced(steering, route,
--- a/src/flow/steering/steering_priv.h
+++ b/src/flow/steering/steering_priv.h
@@ -7,6 +7,7 @@
 #ifndef CAROB_FLOW_STEERING_STEERING_PRIV_H
 #define CAROB_FLOW_STEERING_STEERING_PRIV_H
 
+#include "carobtrail/attempt_table.h"
 #include "carobtrail/steering.h"
 
 struct carob_steering {
@@ -20,6 +21,7 @@
 	const carob_load_view_t *load_view; /* NULL: load is not shared */
 	carob_flow_table_t flows;
 	carob_admission_t admission;
+	carob_attempt_table_t attempts;
 	carob_pace_t pace;
 	/** Upstream whose flows are to be reset, or CAROB_UPSTREAM_NONE. */
 	carob_upstream_index_t silent_upstream;
--- a/src/flow/tables/upstream_table.c
+++ b/src/flow/tables/upstream_table.c
@@ -231,6 +231,7 @@
 static void discard_evidence(carob_upstream_t *upstream)
 {
 	upstream->unanswered_syns = 0;
+	upstream->refused_syns = 0;
 	upstream->repeated_requests = 0;
 	upstream->stalled = false;
 	upstream->avoid_until_ns = 0;
@@ -275,6 +276,7 @@
 	if (error)
 		return error;
 	table->evacuated_zones[id] = evacuated;
+	table->changes++;
 	for (size_t i = 0; i < table->count; i++) {
 		carob_upstream_t *upstream = &table->items[i];
 
