load sharing: the reader table says who the reader is, not the claim

A claim ends when its lease can't be renewed, so that load was no longer shared while the store was down, although all instances still know the reader's address and key. The role now follows the reader table, as the reports do.

Reports take at most 4,000 bytes per second, and a reader that does not answer gets them every second, later every 10 s.

--- a/fuzzers/load_report_fuzzer.c
+++ b/fuzzers/load_report_fuzzer.c
@@ -97,10 +97,11 @@
 	}
 }
 
-static void put_reader(carob_reader_table_t *readers, const char *zone)
+static void put_reader(carob_reader_table_t *readers, const char *zone,
+		       const char *name)
 {
 	const carob_reader_entry_t entry = {.zone = carob_str_from(zone),
-					    .name = CAROB_STR("reader")};
+					    .name = carob_str_from(name)};
 
 	carob_reader_table_put(readers, &entry, 1);
 }
@@ -117,8 +118,8 @@
 	carob_manual_clock_t clock;
 
 	carob_manual_clock_init(&clock, START_MS * CAROB_NS_PER_MS);
-	put_reader(&readers, "a");
-	put_reader(&readers, "b");
+	put_reader(&readers, "a", is_reader ? "self" : "reader");
+	put_reader(&readers, "b", "reader");
 	options.transport = &transport;
 	options.upstreams = &upstreams;
 	options.readers = &readers;
@@ -128,7 +129,6 @@
 	if (carob_kernel_new(&options.kernel, &clock.clock) != 0 ||
 	    carob_load_sharing_new(&sharing, &options) != 0)
 		abort();
-	carob_load_sharing_set_reader(sharing, is_reader);
 	for (int i = 0; i < 8; i++) {
 		carob_manual_clock_advance(&clock, 500 * CAROB_NS_PER_MS);
 		carob_kernel_run_due(options.kernel);
--- a/include/carobtrail/load_sharing.h
+++ b/include/carobtrail/load_sharing.h
@@ -2,9 +2,9 @@
  * @file load_sharing.h
  * Shares load with the other instances: reports what this instance measures to
  * the reader of its zone, and enters the answer, the load of all others, in the
- * upstream table and in a view. If this instance is the reader, it adds the
- * reports up, answers them, and exchanges sums with the readers of other zones.
- * See docs/design/load-sharing.md.
+ * upstream table and in a view. If the reader table says that this instance is
+ * the reader, it adds the reports up, answers them, and exchanges sums with the
+ * readers of other zones. See docs/design/load-sharing.md.
  */
 #ifndef CAROBTRAIL_LOAD_SHARING_H
 #define CAROBTRAIL_LOAD_SHARING_H
@@ -97,10 +97,6 @@
 /** Releases it; NULL is allowed. */
 void carob_load_sharing_free(carob_load_sharing_t *sharing);
 
-/** Sets whether this instance is the reader of its zone. */
-void carob_load_sharing_set_reader(carob_load_sharing_t *sharing,
-				   bool is_reader);
-
 /**
  * Handles a datagram, which is not trusted.
  *
--- a/src/flow/load/load_sharing.c
+++ b/src/flow/load/load_sharing.c
@@ -10,9 +10,15 @@
 /* The numbers of instances are used for this time after a view. */
 #define COUNTS_KEPT_NS (60 * CAROB_NS_PER_S)
 /* After so many reports without an answer, reports are sent at least this far
- * apart. */
-#define UNANSWERED_MAX 4
-#define UNANSWERED_MS  1000
+ * apart. A reader that can't answer all of a large zone does not answer at
+ * all. */
+#define UNANSWERED_MAX	   4
+#define UNANSWERED_MS	   1000
+#define UNANSWERED_LONG	   30
+#define UNANSWERED_LONG_MS 10000
+/* Bytes per second that an instance spends on reports. */
+#define REPORT_BYTES_PER_S 4000
+#define MS_PER_S	   1000
 /* A report whose answer is missing after this is repeated, if the next one is
  * later: at long intervals a lost datagram would make a view expire. */
 #define ANSWER_MS_MAX 500
@@ -184,6 +190,9 @@
 
 	if (!reader)
 		return;
+	if (sharing->asked != id)
+		sharing->unanswered = 0;
+	sharing->asked = id;
 	message.to = reader->endpoint;
 	message.key = reader->key;
 	carob_load_send(sharing, &message);
@@ -191,21 +200,70 @@
 	sharing->unanswered++;
 }
 
+static void begin_sums(carob_load_sharing_t *sharing)
+{
+	carob_load_sums_dispose(&sharing->sums);
+	memset(sharing->peers, 0, sizeof(sharing->peers));
+	sharing->reader_since_ns = carob_load_now_ns(sharing);
+	sharing->joined_ns = sharing->reader_since_ns;
+	sharing->warm = false;
+}
+
+/* This instance is the reader if its entry is in the slot. The table keeps the
+ * entry while the store is down, whether or not the lease goes on, and so all
+ * instances go on to report to the same reader. */
+static void update_role(carob_load_sharing_t *sharing)
+{
+	const carob_reader_table_t *readers = sharing->options.readers;
+	bool is_reader = false;
+
+	for (size_t i = 0; i < CAROB_READER_SLOTS; i++) {
+		const carob_reader_slot_t *slot = &readers->slots[i];
+
+		if (slot->used &&
+		    memcmp(slot->key, sharing->options.key,
+			   sizeof(slot->key)) == 0 &&
+		    carob_load_sender(readers->zone,
+				      carob_str_from(slot->name)) ==
+			    sharing->self)
+			is_reader = true;
+	}
+	if (sharing->is_reader == is_reader)
+		return;
+	sharing->is_reader = is_reader;
+	sharing->unanswered = 0;
+	begin_sums(sharing);
+}
+
 static void arm(carob_load_sharing_t *sharing, uint64_t due_ns)
 {
 	(void)carob_timer_arm(sharing->options.kernel, &sharing->timer, due_ns);
 }
 
+/* @return the least time between two reports, in milliseconds */
+static uint32_t least_ms(const carob_load_sharing_t *sharing)
+{
+	uint32_t ms = (uint32_t)(carob_load_wire_bytes(sharing->own.count) *
+				 MS_PER_S / REPORT_BYTES_PER_S);
+
+	if (sharing->unanswered > UNANSWERED_LONG && ms < UNANSWERED_LONG_MS)
+		return UNANSWERED_LONG_MS;
+	if (sharing->unanswered > UNANSWERED_MAX && ms < UNANSWERED_MS)
+		return UNANSWERED_MS;
+	return ms;
+}
+
 /* @return the time until the next report, in milliseconds */
 static uint32_t next_ms(carob_load_sharing_t *sharing)
 {
-	uint32_t ms = sharing->is_reader
-			      ? carob_load_zone_ms(sharing->interval_ms)
-			      : sharing->interval_ms;
+	uint32_t least = least_ms(sharing);
+	uint32_t ms = sharing->interval_ms;
 	uint32_t jitter;
 
-	if (sharing->unanswered > UNANSWERED_MAX && ms < UNANSWERED_MS)
-		ms = UNANSWERED_MS;
+	if (sharing->is_reader)
+		ms = carob_load_zone_ms(ms);
+	else if (ms < least)
+		ms = least;
 	jitter = carob_rng_below(&sharing->rng, ms / JITTER_PART);
 	return ms + jitter - ms / JITTER_PART / 2;
 }
@@ -226,6 +284,7 @@
 	uint64_t now = carob_load_now_ns(sharing);
 	uint64_t look_ns = now + ANSWER_MS_MAX * CAROB_NS_PER_MS;
 
+	update_role(sharing);
 	if (!is_due(sharing, now)) {
 		arm(sharing, sharing->next_ns);
 		return;
@@ -326,6 +385,7 @@
 		sharing->counters.malformed++;
 		return;
 	}
+	update_role(sharing);
 	switch (datagram.header.kind) {
 	case CAROB_LOAD_REPORT:
 		carob_load_reader_on_report(sharing, &datagram);
@@ -339,25 +399,6 @@
 	}
 }
 
-static void begin_sums(carob_load_sharing_t *sharing)
-{
-	carob_load_sums_dispose(&sharing->sums);
-	memset(sharing->peers, 0, sizeof(sharing->peers));
-	sharing->reader_since_ns = carob_load_now_ns(sharing);
-	sharing->joined_ns = sharing->reader_since_ns;
-	sharing->warm = false;
-}
-
-void carob_load_sharing_set_reader(carob_load_sharing_t *sharing,
-				   bool is_reader)
-{
-	if (sharing->is_reader == is_reader)
-		return;
-	sharing->is_reader = is_reader;
-	sharing->unanswered = 0;
-	begin_sums(sharing);
-}
-
 void carob_load_sharing_forget(carob_load_sharing_t *sharing)
 {
 	sharing->options.view->expires_ns = 0;
--- a/src/flow/load/load_sharing_priv.h
+++ b/src/flow/load/load_sharing_priv.h
@@ -40,7 +40,8 @@
 	uint64_t sent_ns[LOAD_SENT_MAX];
 	uint64_t period_ns;   /* start of the period that is measured */
 	uint32_t interval_ms; /* as the reader says */
-	uint32_t unanswered;  /* reports since the last answer */
+	uint64_t asked;	      /* the reader that got the last report */
+	uint32_t unanswered;  /* its reports since the last answer */
 	uint32_t applied;     /* sequence of the report last answered */
 	uint64_t next_ns;     /* the next report, unless one is repeated */
 	bool known;	      /* the view was fresh when last looked at */
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -194,10 +194,6 @@
 		flowd_relay_check(self->relay, self->upstreams.count,
 				  !self->draining && carob_catalog_complete(
 							     self->catalog));
-	if (self->load)
-		carob_load_sharing_set_reader(
-			flowd_load_sharing(self->load),
-			flowd_relay_status(self->relay).is_reader);
 	if (++self->ticks % SETTINGS_CHECK_TICKS == 0)
 		carob_program_reload_if_changed(&self->program);
 	(void)carob_timer_arm(self->program.kernel, &self->tick, now + TICK_NS);
--- a/tests/flow/load_sharing_test.c
+++ b/tests/flow/load_sharing_test.c
@@ -385,7 +385,6 @@
 	size_t many = 0;
 
 	begin(count);
-	carob_load_sharing_set_reader(sim.instances[0].sharing, false);
 	sim_set_reader(&sim, 3);
 	for (int k = 0; k < 4000; k++) {
 		sim_step(&sim);
--- a/tests/flow/load_simulation.h
+++ b/tests/flow/load_simulation.h
@@ -168,7 +168,6 @@
 	for (size_t i = 0; i < sim->count; i++)
 		carob_reader_table_put(&sim->instances[i].readers, &entry,
 				       sim->revision);
-	carob_load_sharing_set_reader(instance->sharing, true);
 }
 
 static inline void sim_put_upstreams(sim_instance_t *instance)
--- a/tests/integration/flowd_load.sh
+++ b/tests/integration/flowd_load.sh
@@ -1,7 +1,7 @@
 # Four instances in two zones share their load: each knows the others' load and
 # the number of instances, also of the other zone. Guards against views that
-# outlive a stopped reader or a stopped instance, and against sockets and
-# packets while load is not shared.
+# outlive a stopped reader or a stopped instance, against sockets and packets
+# while load is not shared, and against views that end with the store.
 . script/flowdbed.sh
 COUNT=4
 
@@ -79,6 +79,7 @@
 
 declare -A PID_OF
 start_store
+store=${PIDS[-1]}
 store_put_config 1
 store_put_upstream i-2a ready 80
 
@@ -122,3 +123,11 @@
 	[ "$(metric "$i" 'load_rejected{reason="malformed"}')" = 0 ]
 	[ "$(metric "$i" 'load_rejected{reason="forged"}')" = 0 ]
 done
+
+# The store is gone, and with it the readers' leases: load is still shared.
+kill -KILL "$store"
+sleep 9
+for ((i = 1; i <= COUNT; i++)); do
+	[ "$(metric "$i" load_known)" = 1 ]
+	[ "$(metric "$i" load_all_instances)" = 4 ]
+done
