emulators: evacuations of zones and hosts that come back cold

carob-flows takes a command that evacuates a zone for a while and makes its hosts cold at the end. Its checker reports each SYN that a host of the zone takes more than 5 s after the key was written.

--- a/src/emulator/flows/checker.c
+++ b/src/emulator/flows/checker.c
@@ -14,9 +14,9 @@
 #define RECOVERED_REQUESTS_MIN 20
 
 static const char *const guarantee_names[CHECKER_GUARANTEE_COUNT] = {
-	"wrong_answer",	  "run_twice",	   "flow_broken",
-	"packet_changed", "wrong_service", "drained",
-	"old_route",	  "new_route",	   "not_served",
+	"wrong_answer",	 "run_twice",  "flow_broken", "packet_changed",
+	"wrong_service", "drained",    "old_route",   "new_route",
+	"evacuated",	 "not_served",
 };
 
 static const char *const outcome_names[CHECKER_OUTCOME_COUNT] = {
--- a/src/emulator/flows/checker.h
+++ b/src/emulator/flows/checker.h
@@ -34,6 +34,8 @@
 	CHECKER_OLD_ROUTE,
 	/** A new flow was refused long after its route was added. */
 	CHECKER_NEW_ROUTE,
+	/** A SYN reached a host long after its zone was evacuated. */
+	CHECKER_EVACUATED,
 	/** Too many requests failed long after the last fault. */
 	CHECKER_NOT_SERVED,
 	CHECKER_GUARANTEE_COUNT
--- a/src/emulator/flows/host.c
+++ b/src/emulator/flows/host.c
@@ -11,6 +11,7 @@
 
 #define REQUEST_MAX  1024
 #define RESPONSE_MAX (64 * 1024)
+#define COLD_FACTOR  3 /* so much longer a request runs on a cold host */
 
 /* One flow at the host. */
 typedef struct flow {
@@ -49,6 +50,7 @@
 	uint64_t started_ns;
 	uint64_t state_since_ns;
 	uint64_t disturbed_until_ns;
+	uint64_t cold_until_ns;
 	flow_t *flows;
 	job_t *jobs;
 	uint32_t running;
@@ -160,6 +162,8 @@
 		ms = host->options.mean_run_ms / 2 +
 		     carob_rng_below(&host->testbed->rng,
 				     host->options.mean_run_ms);
+		if (host_cold_ms(host) > 0)
+			ms *= COLD_FACTOR;
 		job->running = true;
 		checker_record_run(&host->testbed->checker, job->id,
 				   job->idempotent);
@@ -293,9 +297,29 @@
 			packet->to.port);
 }
 
+/* Checks any SYN, also a copy: nothing new may come to an evacuated zone. */
+static void check_evacuation(host_t *host, size_t instance)
+{
+	testbed_t *testbed = host->testbed;
+	uint64_t since_ms = (testbed_now_ns(testbed) - testbed->evacuated_ns) /
+			    CAROB_NS_PER_MS;
+
+	if (host->options.zone != testbed->evacuated_zone ||
+	    since_ms <= TESTBED_EVACUATION_MS ||
+	    !checker_store_undisturbed(&testbed->checker) ||
+	    !checker_instance_undisturbed(&testbed->checker, instance))
+		return;
+	checker_report_violation(&testbed->checker, CHECKER_EVACUATED,
+				 "host %" PRIx64 " received a SYN %" PRIu64
+				 " ms after %s was evacuated",
+				 host->options.number, since_ms,
+				 testbed->zones[testbed->evacuated_zone]);
+}
+
 static void on_syn(host_t *host, const wire_packet_t *packet, flow_t *flow,
 		   size_t instance)
 {
+	check_evacuation(host, instance);
 	if (flow && flow->caller_seq == packet->seq) {
 		if (!flow->open)
 			send_syn_ack(flow, packet->echo);
@@ -443,6 +467,22 @@
 	return host->state;
 }
 
+void host_set_cold(host_t *host, uint32_t ms)
+{
+	host->cold_until_ns =
+		testbed_now_ns(host->testbed) + ms * CAROB_NS_PER_MS;
+}
+
+uint32_t host_cold_ms(const host_t *host)
+{
+	uint64_t now = testbed_now_ns(host->testbed);
+
+	return now < host->cold_until_ns
+		       ? (uint32_t)((host->cold_until_ns - now) /
+				    CAROB_NS_PER_MS)
+		       : 0;
+}
+
 const host_options_t *host_options(const host_t *host)
 {
 	return &host->options;
--- a/src/emulator/flows/host.h
+++ b/src/emulator/flows/host.h
@@ -47,6 +47,12 @@
 /** @return how a host treats packets */
 host_state_t host_state(const host_t *host);
 
+/** Makes a host cold for `ms` milliseconds: its requests run longer. */
+void host_set_cold(host_t *host, uint32_t ms);
+
+/** @return the time for which a host stays cold, in milliseconds */
+uint32_t host_cold_ms(const host_t *host);
+
 /** @return the options of a host, borrowed */
 const host_options_t *host_options(const host_t *host);
 
--- a/src/emulator/flows/main.c
+++ b/src/emulator/flows/main.c
@@ -99,6 +99,7 @@
 		error = read_zone(testbed, &zone);
 	}
 	testbed->cut_zone = testbed->zone_count;
+	testbed->evacuated_zone = testbed->zone_count;
 	return error;
 }
 
@@ -206,12 +207,12 @@
 }
 
 /* Handles the commands by which another process announces faults that it
- * causes, and the return of the store from a copy. */
+ * causes and the return of the store from a copy, and asks for evacuations. */
 static int on_command(carob_buf_t *answer, void *context,
 		      const carob_json_node_t *root)
 {
 	static const char *const names[] = {"instance_trouble", "store_trouble",
-					    "rewrite"};
+					    "rewrite", "evacuate"};
 	flows_t *self = context;
 	uint64_t instance = 0;
 	uint64_t ms = 0;
@@ -232,6 +233,9 @@
 					      ms);
 	else if (index == 1)
 		checker_record_store_fault(&self->testbed.checker, ms);
+	else if (index == 3)
+		operations_evacuate_zone(self->testbed.operations,
+					 (uint32_t)ms);
 	else
 		operations_rewrite(self->testbed.operations, (uint32_t)ms);
 	return 0;
--- a/src/emulator/flows/operations.c
+++ b/src/emulator/flows/operations.c
@@ -20,6 +20,7 @@
 #define CUT_MS		 3000 /* duration of the partition of a zone */
 #define LOSS_MS		 2000 /* duration of a period of packet loss */
 #define LOSS_PER_MILLE	 30
+#define COLD_MS		 3000 /* slow start of the hosts of an evacuated zone */
 #define ROUTE_IP	 0xc6120001
 #define ROUTE_PORT_FIRST 443
 #define INITIAL_ROUTES	 3
@@ -82,6 +83,12 @@
 	json_decref(value);
 }
 
+static void store_remove(operations_t *self, const char *key)
+{
+	send_store_command(self, json_pack("{s:s,s:s}", "command", "remove",
+					   "key", key));
+}
+
 static void format_key(char out[64], uint64_t number)
 {
 	(void)snprintf(out, 64, "servers/i-%010" PRIx64, number);
@@ -92,8 +99,7 @@
 	char key[64];
 
 	format_key(key, number);
-	send_store_command(self, json_pack("{s:s,s:s}", "command", "remove",
-					   "key", key));
+	store_remove(self, key);
 }
 
 static void store_put_host(operations_t *self, const host_t *host)
@@ -112,7 +118,8 @@
 			    "state",
 			    host_state(host) == HOST_DRAINING ? "draining"
 							      : "ready",
-			    "cold_ms", 0, "seq", (int)++self->reports, "born",
+			    "cold_ms", (int)host_cold_ms(host), "seq",
+			    (int)++self->reports, "born",
 			    (json_int_t)(host_started_ns(host) /
 					 CAROB_NS_PER_MS)));
 }
@@ -285,6 +292,62 @@
 	put_config(self);
 }
 
+/* Writes the key that evacuates a zone, or removes it. */
+static void store_evacuation(operations_t *self, size_t zone)
+{
+	char key[64];
+
+	(void)snprintf(key, sizeof(key), "op/evacuate/%s",
+		       self->testbed->zones[zone]);
+	if (zone == self->testbed->evacuated_zone)
+		store_put(self, key, json_object());
+	else
+		store_remove(self, key);
+}
+
+/* The copy that the store came back from may have a key of an evacuation that
+ * has ended, or lack the key of the present one. */
+static void rewrite_evacuations(operations_t *self, uint64_t number)
+{
+	(void)number;
+	for (size_t zone = 0; zone < self->testbed->zone_count; zone++)
+		store_evacuation(self, zone);
+}
+
+/* Ends the evacuation. The hosts of the zone had no new load and are cold. */
+static void restore_zone(operations_t *self, uint64_t number)
+{
+	testbed_t *testbed = self->testbed;
+	size_t zone = testbed->evacuated_zone;
+
+	(void)number;
+	for (size_t i = 0; i < testbed->host_count; i++) {
+		host_t *host = testbed->hosts[i];
+
+		if (!host || host_options(host)->zone != zone ||
+		    host_state(host) != HOST_READY)
+			continue;
+		host_set_cold(host, COLD_MS);
+		store_put_host(self, host);
+	}
+	testbed->evacuated_zone = testbed->zone_count;
+	store_evacuation(self, zone);
+}
+
+void operations_evacuate_zone(operations_t *self, uint32_t ms)
+{
+	testbed_t *testbed = self->testbed;
+
+	if (testbed->evacuated_zone < testbed->zone_count ||
+	    testbed->zone_count < 2)
+		return;
+	testbed->evacuated_zone =
+		carob_rng_below(&testbed->rng, (uint32_t)testbed->zone_count);
+	testbed->evacuated_ns = testbed_now_ns(testbed);
+	store_evacuation(self, testbed->evacuated_zone);
+	run_delayed(self, ms, 0, restore_zone);
+}
+
 void operations_rewrite(operations_t *self, uint32_t within_ms)
 {
 	const testbed_t *testbed = self->testbed;
@@ -292,6 +355,8 @@
 
 	run_delayed(self, carob_rng_below(rng, within_ms + 1), 0,
 		    rewrite_config);
+	run_delayed(self, carob_rng_below(rng, within_ms + 1), 0,
+		    rewrite_evacuations);
 	for (size_t i = 0; i < testbed->host_count; i++)
 		if (testbed->hosts[i])
 			run_delayed(self, carob_rng_below(rng, within_ms + 1),
--- a/src/emulator/flows/operations.h
+++ b/src/emulator/flows/operations.h
@@ -31,11 +31,17 @@
 void operations_schedule_event(operations_t *operations);
 
 /**
- * Writes the configuration and the entries of all hosts that live into the
- * store again, each at a random time within `within_ms`.
+ * Writes the configuration, the evacuations and the entries of all hosts that
+ * live into the store again, each at a random time within `within_ms`.
  */
 void operations_rewrite(operations_t *operations, uint32_t within_ms);
 
+/**
+ * Evacuates a random zone for `ms` milliseconds, unless one is evacuated
+ * already or there is only one. Its hosts are cold at the end.
+ */
+void operations_evacuate_zone(operations_t *operations, uint32_t ms);
+
 /** Ends the series; events in progress run to their end. */
 void operations_stop_events(operations_t *operations);
 
--- a/src/emulator/flows/testbed.h
+++ b/src/emulator/flows/testbed.h
@@ -22,6 +22,10 @@
 /* A draining host must not get new flows after this time. */
 #define TESTBED_DRAIN_MS 3000
 
+/* Nothing new may be sent to the hosts of a zone after this time of its
+ * evacuation. */
+#define TESTBED_EVACUATION_MS 5000
+
 typedef struct testbed testbed_t;
 typedef struct router router_t;
 typedef struct callers callers_t;
@@ -60,7 +64,9 @@
 	carob_addr_t store; /* command address of carob-store */
 	carob_addr_t base;  /* first address for hosts and callers */
 	uint32_t loss_per_mille;
-	size_t cut_zone; /* partitioned zone; zone_count: none */
+	size_t cut_zone;       /* partitioned zone; zone_count: none */
+	size_t evacuated_zone; /* zone_count: none */
+	uint64_t evacuated_ns; /* when its evacuation was written */
 	router_t *router;
 	callers_t *callers;
 	operations_t *operations;
