flowd: resets requests to upstreams that are known to be gone

With the option `reset_gone`, a request of an idempotent route is reset as it arrives if the entry of its upstream was removed while the platform was reachable, the upstream has answered nothing since, and a request to it has stalled or three such upstreams of its zone are silent while none of the zone answers. docs/design/zone-lost.md weighs the choices. Removals that an outage or a return from a copy may have caused do not count. Without the option, and so far in main.c, decisions are as before.

The gain is not measured yet.

--- a/include/carobtrail/failure_detector.h
+++ b/include/carobtrail/failure_detector.h
@@ -28,6 +28,10 @@
  * therefore sufficient evidence, also without unanswered SYNs. It can't be
  * due to queueing: an upstream refuses requests before its queue gets that
  * long.
+ *
+ * An upstream whose entry was removed is known to be gone with less evidence
+ * (docs/design/zone-lost.md). The removal alone is none: the upstream may serve
+ * without reaching the platform.
  */
 #ifndef CAROBTRAIL_FAILURE_DETECTOR_H
 #define CAROBTRAIL_FAILURE_DETECTOR_H
@@ -66,6 +70,37 @@
 					 carob_upstream_index_t index,
 					 uint64_t since_ns, uint64_t now_ns);
 
+/**
+ * Records a retransmission of a request, which may be overdue: it is if it has
+ * waited for much longer than responses usually take, and the upstream has
+ * answered nothing meanwhile. Call it at each retransmission.
+ *
+ * @param table the upstreams
+ * @param index the upstream that has not answered the request
+ * @param since_ns monotonic time at which the request was first sent
+ * @param usual_ns a high quantile of the response time, in nanoseconds
+ * @param now_ns monotonic time
+ */
+void carob_failure_detector_record_overdue(carob_upstream_table_t *table,
+					   carob_upstream_index_t index,
+					   uint64_t since_ns, uint64_t usual_ns,
+					   uint64_t now_ns);
+
+/**
+ * Decides whether an upstream is known to be gone: its entry was removed while
+ * the platform was reachable, it has answered nothing since, and either a
+ * request to it has stalled, or requests to several such upstreams of its zone
+ * are overdue while the whole zone has answered nothing since.
+ *
+ * @param table the upstreams
+ * @param index the upstream
+ * @param now_ns monotonic time
+ * @return whether it is gone
+ */
+bool carob_failure_detector_is_gone(const carob_upstream_table_t *table,
+				    carob_upstream_index_t index,
+				    uint64_t now_ns);
+
 /** @return whether new flows should go to other upstreams, if there are any */
 bool carob_failure_detector_is_avoided(const carob_upstream_t *upstream,
 				       uint64_t now_ns);
--- a/include/carobtrail/steering.h
+++ b/include/carobtrail/steering.h
@@ -41,7 +41,8 @@
 	/* A SYN copy whose flow was opening in an evacuated zone. */          \
 	X(CAROB_STEER_EVACUATED_MOVED, FORWARD, "evacuated_moved")             \
 	/* A SYN copy of a flow that is open in an evacuated zone. */          \
-	X(CAROB_STEER_EVACUATED_DROPPED, DROP, "evacuated_dropped")
+	X(CAROB_STEER_EVACUATED_DROPPED, DROP, "evacuated_dropped")            \
+	X(CAROB_STEER_UPSTREAM_GONE, RESET, "upstream_gone")
 
 typedef enum carob_steer_reason {
 #define X(name, verdict, text) name,
@@ -56,8 +57,8 @@
 	carob_steer_reason_t reason;
 	/**
 	 * The upstream that a forwarded packet is sent to or, for the reason
-	 * CAROB_STEER_UPSTREAM_SILENT, the silent upstream that held the flow;
-	 * otherwise NULL. Borrowed.
+	 * CAROB_STEER_UPSTREAM_SILENT or CAROB_STEER_UPSTREAM_GONE, the one
+	 * that held the flow; otherwise NULL. Borrowed.
 	 */
 	const carob_upstream_t *upstream;
 	/**
@@ -92,6 +93,9 @@
 	const carob_link_meter_t *link;
 	/** Load of other instances, borrowed; NULL: load is not shared. */
 	const carob_load_view_t *load_view;
+	/** Whether requests that may be retried are reset if their upstream is
+	 * known to be gone; see docs/design/zone-lost.md. */
+	bool reset_gone;
 } carob_steering_options_t;
 
 #define CAROB_STEERING_OPTIONS_VERSION 1
--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -61,6 +61,9 @@
 	uint64_t changed_ns;	/* time of the last change of `state` */
 	bool listed;		/* seen in the listing in progress */
 	bool evacuated;		/* its zone has been taken out of service */
+	/** Time at which its entry was removed while it was ready and the
+	 * platform was reachable; 0: it was not, or that is not certain. */
+	uint64_t removed_ns;
 
 	uint32_t open_flows;  /* open flows of this instance */
 	uint32_t pending;     /* open flows with a request in progress */
@@ -71,6 +74,9 @@
 	uint32_t repeated_requests;
 	bool stalled;	      /* a request was retransmitted for too long */
 	uint64_t evidence_ns; /* time of the last such retransmission */
+	/** Time of the last retransmission of a request that is overdue (see
+	 * failure_detector.h), or 0 if there was none since `answered_ns`. */
+	uint64_t overdue_ns;
 	/** Until then, new flows are placed elsewhere if possible. */
 	uint64_t avoid_until_ns;
 
@@ -136,6 +142,22 @@
 				 uint64_t revision, carob_upstream_state_t to,
 				 uint64_t now_ns);
 
+/**
+ * Notes that an entry is about to be removed while the platform is reachable.
+ * Call it before `carob_upstream_table_remove`, with the same arguments. Only
+ * the removal of a ready upstream is noted: one that drains leaves on purpose.
+ */
+void carob_upstream_table_note_removal(carob_upstream_table_t *table,
+				       carob_str_t id, uint64_t revision,
+				       uint64_t now_ns);
+
+/**
+ * Takes back the removals that were noted at `since_ns` or later: an outage of
+ * the platform may have caused them.
+ */
+void carob_upstream_table_distrust_removals(carob_upstream_table_t *table,
+					    uint64_t since_ns);
+
 /**
  * Begins an era of the catalogue, whose revisions are unrelated to the earlier
  * ones. Until `carob_upstream_table_end_reconciling`, entries may stem from the
--- a/src/flow/decisions/failure_detector.c
+++ b/src/flow/decisions/failure_detector.c
@@ -31,6 +31,23 @@
 #define TIME_TOLERANCE_NS (2 * CAROB_NS_PER_MS)
 /* Other upstreams are known to answer if one has answered within this time. */
 #define LAST_ANSWER_AGE_NS_MAX (200 * CAROB_NS_PER_MS)
+/* Minimum wait of an overdue request. Callers retransmit a request 0.2 and 0.6
+ * s after they sent it; a request that merely waits in a queue reaches the
+ * first of the two. */
+#define OVERDUE_NS_MIN (500 * CAROB_NS_PER_MS)
+/* For how long an overdue request is evidence that an upstream is gone. A cut
+ * link may heal meanwhile; FLOW in docs/design/load-and-pace.md allows resets
+ * until 4 s after a disruption. */
+#define OVERDUE_AGE_NS_MAX (3 * CAROB_NS_PER_S)
+/* An upstream that dies leaves requests unanswered until its entry expires. An
+ * overdue request of a longer time before the removal has another cause. */
+#define OVERDUE_BEFORE_REMOVAL_NS (5 * CAROB_NS_PER_S)
+/* Number of silent upstreams that are evidence against a whole zone. Two may
+ * have failed by chance. */
+#define SILENT_IN_ZONE_MIN 3
+/* For an upstream to be gone, some other one must have answered within this
+ * time. An instance with little load gets an answer a few times a second. */
+#define OTHERS_ANSWER_AGE_NS_MAX (CAROB_NS_PER_S)
 
 void carob_failure_detector_record_answer(carob_upstream_table_t *table,
 					  carob_upstream_index_t index,
@@ -46,6 +63,7 @@
 	upstream->unanswered_syns = 0;
 	upstream->repeated_requests = 0;
 	upstream->stalled = false;
+	upstream->overdue_ns = 0;
 	upstream->avoid_until_ns = 0;
 	upstream->answered_ns = now_ns;
 	table->answered_ns = now_ns;
@@ -105,6 +123,71 @@
 	log_avoided(upstream);
 }
 
+void carob_failure_detector_record_overdue(carob_upstream_table_t *table,
+					   carob_upstream_index_t index,
+					   uint64_t since_ns, uint64_t usual_ns,
+					   uint64_t now_ns)
+{
+	carob_upstream_t *upstream = &table->items[index];
+	uint64_t overdue_ns_min = RESPONSE_TIME_FACTOR * usual_ns;
+
+	if (overdue_ns_min < OVERDUE_NS_MIN)
+		overdue_ns_min = OVERDUE_NS_MIN;
+	if (now_ns - since_ns < overdue_ns_min ||
+	    upstream->answered_ns > since_ns + TIME_TOLERANCE_NS)
+		return;
+	upstream->overdue_ns = now_ns;
+}
+
+/* Returns whether an upstream was removed and has answered nothing since. */
+static bool is_removed(const carob_upstream_t *upstream)
+{
+	return upstream->used && upstream->state == CAROB_UPSTREAM_GONE &&
+	       upstream->answered_ns < upstream->removed_ns;
+}
+
+/* Returns whether there is recent evidence against a removed upstream. */
+static bool is_overdue(const carob_upstream_t *upstream, uint64_t now_ns)
+{
+	return is_removed(upstream) && upstream->overdue_ns != 0 &&
+	       upstream->overdue_ns + OVERDUE_BEFORE_REMOVAL_NS >=
+		       upstream->removed_ns &&
+	       now_ns - upstream->overdue_ns < OVERDUE_AGE_NS_MAX;
+}
+
+/* Returns whether several upstreams of the zone fell silent together with this
+ * one, and none of the zone has answered since its removal. */
+static bool is_zone_silent(const carob_upstream_table_t *table,
+			   const carob_upstream_t *upstream, uint64_t now_ns)
+{
+	uint32_t silent = 0;
+
+	for (size_t i = 0; i < table->count; i++) {
+		const carob_upstream_t *other = &table->items[i];
+
+		if (!other->used || other->zone != upstream->zone)
+			continue;
+		if (other->answered_ns >= upstream->removed_ns)
+			return false;
+		if (is_overdue(other, now_ns))
+			silent++;
+	}
+	return silent >= SILENT_IN_ZONE_MIN;
+}
+
+bool carob_failure_detector_is_gone(const carob_upstream_table_t *table,
+				    carob_upstream_index_t index,
+				    uint64_t now_ns)
+{
+	const carob_upstream_t *upstream = &table->items[index];
+
+	if (!is_removed(upstream) ||
+	    now_ns - table->answered_ns >= OTHERS_ANSWER_AGE_NS_MAX)
+		return false;
+	return (is_overdue(upstream, now_ns) && upstream->stalled) ||
+	       is_zone_silent(table, upstream, now_ns);
+}
+
 /* When the time to avoid the upstream has passed, one flow at a time may probe
  * whether it answers again. */
 bool carob_failure_detector_is_avoided(const carob_upstream_t *upstream,
--- a/src/flow/sources/catalog.c
+++ b/src/flow/sources/catalog.c
@@ -35,6 +35,10 @@
  * still carry their tags. */
 #define FORGET_GONE_NS (120 * CAROB_NS_PER_S)
 
+/* A watch may take this much longer than it waits for changes. If it takes
+ * longer, the platform may have been away without a failed read. */
+#define CONTACT_GAP_NS (500 * CAROB_NS_PER_MS)
+
 typedef enum catalog_read {
 	READ_NONE,
 	READ_PAGE,
@@ -57,7 +61,8 @@
 	uint64_t revision;	/* changes up to it have been read */
 	uint64_t responded_ns;	/* time of the last response */
 	uint64_t recovered_ns;	/* end of the last outage */
-	uint32_t failures;	/* failed reads since the last response */
+	uint64_t gap_ns;   /* time without contact before the last response */
+	uint32_t failures; /* failed reads since the last response */
 	carob_catalog_counters_t counters;
 };
 
@@ -142,6 +147,20 @@
 				       : CAROB_UPSTREAM_GONE;
 }
 
+/* Returns whether an entry that is removed has not just expired in an outage of
+ * the platform, also one that no read has noticed. */
+static bool trusts_removals(const carob_catalog_t *catalog)
+{
+	uint64_t contact_ns = catalog->options.contact_ms * CAROB_NS_PER_MS;
+
+	return !catalog->options.upstreams->reconciling &&
+	       (catalog->recovered_ns == 0 ||
+		now_ns(catalog) - catalog->recovered_ns >= contact_ns) &&
+	       catalog->gap_ns <= WATCH_WAIT_MS(catalog->options.contact_ms) *
+						  CAROB_NS_PER_MS +
+					  CONTACT_GAP_NS;
+}
+
 static int copy_route(carob_route_t *out, const carob_catalog_route_t *route,
 		      carob_name_table_t *services)
 {
@@ -330,6 +349,11 @@
 					    now_ns(catalog));
 		break;
 	case CAROB_CATALOG_UPSTREAM_REMOVED:
+		if (trusts_removals(catalog))
+			carob_upstream_table_note_removal(upstreams,
+							  change->upstream_id,
+							  change->revision,
+							  now_ns(catalog));
 		carob_upstream_table_remove(upstreams, change->upstream_id,
 					    change->revision,
 					    state_of_missing(catalog),
@@ -429,6 +453,9 @@
 					  carob_catalog_age_ms(catalog)));
 	}
 	catalog->failures = 0;
+	catalog->gap_ns = confirmed > catalog->responded_ns
+				  ? confirmed - catalog->responded_ns
+				  : 0;
 	if (confirmed > catalog->responded_ns)
 		catalog->responded_ns = confirmed;
 }
@@ -523,6 +550,17 @@
 	restart_listing(catalog);
 }
 
+/* The outage may have begun before it was noticed. */
+static void distrust_recent_removals(carob_catalog_t *catalog)
+{
+	uint64_t contact_ns = catalog->options.contact_ms * CAROB_NS_PER_MS;
+	uint64_t now = now_ns(catalog);
+
+	carob_upstream_table_distrust_removals(
+		catalog->options.upstreams,
+		now > contact_ns ? now - contact_ns : 0);
+}
+
 static void on_failure(carob_catalog_t *catalog,
 		       const carob_catalog_reply_t *reply)
 {
@@ -530,6 +568,7 @@
 
 	catalog->counters.failed++;
 	catalog->failures++;
+	distrust_recent_removals(catalog);
 	pause_ms = retry_pause_ms(catalog);
 	if (catalog->failures == 1)
 		CAROB_LOG(CAROB_EV_PLATFORM_UNREACHABLE,
@@ -573,6 +612,7 @@
 	catalog->era = era;
 	catalog->listed = false;
 	carob_upstream_table_begin_era(catalog->options.upstreams);
+	carob_upstream_table_distrust_removals(catalog->options.upstreams, 0);
 	if (catalog->options.readers)
 		carob_reader_table_begin_era(catalog->options.readers);
 	if (catalog->options.zones)
--- a/src/flow/steering/steering.c
+++ b/src/flow/steering/steering.c
@@ -211,9 +211,24 @@
 	steer_new_syn(out, steering, packet, route);
 }
 
+/* Returns whether a request on an open flow is reset because its upstream is
+ * known to be gone. A packet that was read late, or when the own link is
+ * congested, does not count: an answer may be waiting behind it. */
+static bool should_reset_gone(const carob_steering_t *steering,
+			      const carob_flow_packet_t *packet,
+			      carob_upstream_index_t upstream,
+			      const carob_route_t *route)
+{
+	return route && route->idempotent && packet->data_bytes > 0 &&
+	       !packet->fin && !packet->rst &&
+	       carob_steering_is_evidence(steering, packet) &&
+	       carob_steering_is_gone(steering, upstream);
+}
+
 static void steer_unknown_flow(carob_steer_result_t *out,
 			       carob_steering_t *steering,
-			       const carob_flow_packet_t *packet)
+			       const carob_flow_packet_t *packet,
+			       const carob_route_t *route)
 {
 	carob_upstream_index_t to = CAROB_UPSTREAM_NONE;
 	carob_flow_t *flow;
@@ -225,6 +240,11 @@
 		set_decision(out, steering, CAROB_STEER_UNKNOWN_TAG);
 		return;
 	}
+	if (should_reset_gone(steering, packet, to, route)) {
+		out->upstream = &steering->upstreams->items[to];
+		set_decision(out, steering, CAROB_STEER_UPSTREAM_GONE);
+		return;
+	}
 	forward(out, steering, CAROB_STEER_BY_TAG, to);
 	if (packet->rst)
 		return;
@@ -261,6 +281,15 @@
 		set_decision(out, steering, CAROB_STEER_UPSTREAM_SILENT);
 		return;
 	}
+	/* A packet that acknowledges more shows that the upstream serves. */
+	if (flow->phase == CAROB_FLOW_OPEN &&
+	    (int32_t)(packet->ack - flow->last_ack) <= 0 &&
+	    should_reset_gone(steering, packet, flow->upstream, route)) {
+		out->upstream = &steering->upstreams->items[flow->upstream];
+		carob_steering_remove_flow(steering, flow);
+		set_decision(out, steering, CAROB_STEER_UPSTREAM_GONE);
+		return;
+	}
 	forward(out, steering, CAROB_STEER_KNOWN_FLOW, flow->upstream);
 	carob_steering_track_packet(steering, flow, packet);
 }
@@ -293,7 +322,7 @@
 	if (flow)
 		steer_known_flow(out, steering, packet, flow, route);
 	else
-		steer_unknown_flow(out, steering, packet);
+		steer_unknown_flow(out, steering, packet, route);
 }
 
 size_t carob_steering_flow_count(const carob_steering_t *steering)
@@ -328,6 +357,7 @@
 	steering->upstreams = options->upstreams;
 	steering->link = options->link;
 	steering->load_view = options->load_view;
+	steering->reset_gone = options->reset_gone;
 	steering->silent_upstream = CAROB_UPSTREAM_NONE;
 	error = carob_name_table_add(&steering->home_zone,
 				     &options->upstreams->zones,
--- a/src/flow/steering/steering_flow.c
+++ b/src/flow/steering/steering_flow.c
@@ -94,25 +94,37 @@
 					   carob_steering_now_ns(steering));
 }
 
+static uint64_t usual_response_ns(const carob_steering_t *steering)
+{
+	return carob_histogram_quantile(&steering->counters.answer_ms,
+					USUAL_TIME_QUANTILE) *
+	       CAROB_NS_PER_MS;
+}
+
+bool carob_steering_is_gone(const carob_steering_t *steering,
+			    carob_upstream_index_t upstream)
+{
+	return steering->reset_gone &&
+	       carob_failure_detector_is_gone(steering->upstreams, upstream,
+					      carob_steering_now_ns(steering));
+}
+
 bool carob_steering_is_silent(const carob_steering_t *steering,
 			      carob_upstream_index_t upstream)
 {
-	uint64_t usual_ms;
-
 	if (!carob_failure_detector_has_evidence(
 		    &steering->upstreams->items[upstream]))
 		return false;
-	usual_ms = carob_histogram_quantile(&steering->counters.answer_ms,
-					    USUAL_TIME_QUANTILE);
 	return carob_failure_detector_is_silent(
-		steering->upstreams, upstream, usual_ms * CAROB_NS_PER_MS,
+		steering->upstreams, upstream, usual_response_ns(steering),
 		carob_steering_now_ns(steering));
 }
 
 void carob_steering_check_silent(carob_steering_t *steering,
 				 carob_upstream_index_t upstream)
 {
-	if (carob_steering_is_silent(steering, upstream))
+	if (carob_steering_is_silent(steering, upstream) ||
+	    carob_steering_is_gone(steering, upstream))
 		steering->silent_upstream = upstream;
 }
 
@@ -155,6 +167,18 @@
 			carob_steering_now_ns(steering));
 }
 
+/* A caller that acknowledges more of a long response shows that a removed
+ * upstream serves. */
+static void record_sign_of_life(carob_steering_t *steering,
+				const carob_flow_t *flow)
+{
+	if (steering->reset_gone &&
+	    steering->upstreams->items[flow->upstream].removed_ns != 0)
+		carob_failure_detector_record_answer(
+			steering->upstreams, flow->upstream,
+			carob_steering_now_ns(steering));
+}
+
 static void track_response(carob_steering_t *steering, carob_flow_t *flow,
 			   const carob_flow_packet_t *packet)
 {
@@ -163,8 +187,10 @@
 	if (!packet->has_ack || !advanced)
 		return;
 	flow->last_ack = packet->ack;
-	if (!flow->pending)
+	if (!flow->pending) {
+		record_sign_of_life(steering, flow);
 		return;
+	}
 	carob_steering_set_pending(steering, flow, false);
 	record_response(steering, flow,
 			carob_steering_now_ms(steering) - flow->request_ms);
@@ -189,6 +215,11 @@
 	carob_failure_detector_record_stall(steering->upstreams, flow->upstream,
 					    now - waited_ms * CAROB_NS_PER_MS,
 					    now);
+	if (steering->reset_gone)
+		carob_failure_detector_record_overdue(
+			steering->upstreams, flow->upstream,
+			now - waited_ms * CAROB_NS_PER_MS,
+			usual_response_ns(steering), now);
 	carob_steering_check_silent(steering, flow->upstream);
 }
 
--- a/src/flow/steering/steering_priv.h
+++ b/src/flow/steering/steering_priv.h
@@ -18,6 +18,7 @@
 	carob_name_id_t home_zone;
 	const carob_link_meter_t *link;	    /* NULL: none */
 	const carob_load_view_t *load_view; /* NULL: load is not shared */
+	bool reset_gone;
 	carob_flow_table_t flows;
 	carob_admission_t admission;
 	/** Upstream whose flows are to be reset, or CAROB_UPSTREAM_NONE. */
@@ -101,7 +102,14 @@
 			      carob_upstream_index_t upstream);
 
 /**
- * Schedules the reset of the flows of an upstream if it is silent;
+ * @return whether an upstream is known to be gone (see failure_detector.h) and
+ *         flows are to be reset then
+ */
+bool carob_steering_is_gone(const carob_steering_t *steering,
+			    carob_upstream_index_t upstream);
+
+/**
+ * Schedules the reset of the flows of an upstream if it is silent or gone;
  * `carob_steering_reset_silent` sends the resets.
  */
 void carob_steering_check_silent(carob_steering_t *steering,
--- a/src/flow/steering/steering_sweep.c
+++ b/src/flow/steering/steering_sweep.c
@@ -60,7 +60,11 @@
 		return;
 	carob_flow_table_sweep(&steering->flows, steering->flows.cap,
 			       &reset.visitor);
-	steering->counters.reasons[CAROB_STEER_UPSTREAM_SILENT] += reset.count;
+	steering->counters.reasons[carob_steering_is_gone(
+					   steering, steering->silent_upstream)
+					   ? CAROB_STEER_UPSTREAM_GONE
+					   : CAROB_STEER_UPSTREAM_SILENT] +=
+		reset.count;
 	if (reset.count > 0)
 		CAROB_LOG(CAROB_EV_UPSTREAM_SILENCE,
 			  CAROB_FIELD_CSTR(
--- a/src/flow/tables/upstream_table.c
+++ b/src/flow/tables/upstream_table.c
@@ -226,6 +226,7 @@
 	upstream->unanswered_syns = 0;
 	upstream->repeated_requests = 0;
 	upstream->stalled = false;
+	upstream->overdue_ns = 0;
 	upstream->avoid_until_ns = 0;
 }
 
@@ -294,6 +295,7 @@
 	upstream->cold_until_ns =
 		now_ns + (uint64_t)entry->cold_ms * CAROB_NS_PER_MS;
 	upstream->listed = true;
+	upstream->removed_ns = 0;
 }
 
 /* Returns whether an entry is from before what is known of the upstream. With
@@ -376,6 +378,26 @@
 	mark_removed(table, &table->items[index], to, now_ns);
 }
 
+void carob_upstream_table_note_removal(carob_upstream_table_t *table,
+				       carob_str_t id, uint64_t revision,
+				       uint64_t now_ns)
+{
+	carob_upstream_index_t index = carob_upstream_table_by_id(table, id);
+
+	if (index != CAROB_UPSTREAM_NONE &&
+	    revision >= table->items[index].revision &&
+	    table->items[index].state == CAROB_UPSTREAM_READY)
+		table->items[index].removed_ns = now_ns;
+}
+
+void carob_upstream_table_distrust_removals(carob_upstream_table_t *table,
+					    uint64_t since_ns)
+{
+	for (size_t i = 0; i < table->count; i++)
+		if (table->items[i].removed_ns >= since_ns)
+			table->items[i].removed_ns = 0;
+}
+
 void carob_upstream_table_begin_era(carob_upstream_table_t *table)
 {
 	table->reconciling = true;
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -272,6 +272,8 @@
 	options.home_zone = self->settings.zone;
 	carob_link_meter_init(&self->link, self->settings.link_mbps);
 	options.link = &self->link;
+	/* To be set if the settings have `share_load` or `cold_overage`. */
+	options.reset_gone = false;
 	return carob_steering_new(&self->steering, &options);
 }
 
--- a/tests/flow/catalog_test.c
+++ b/tests/flow/catalog_test.c
@@ -815,6 +815,140 @@
 	fixture_dispose(&fixture);
 }
 
+/* What happens around the removal of i-a. */
+typedef enum removal_event {
+	REMOVAL_PLAIN,
+	REMOVAL_OF_DRAINING,
+	REMOVAL_UNUSABLE,     /* its entry can't be parsed any more */
+	REMOVAL_IN_LISTING,   /* a listing lacks it */
+	REMOVAL_AFTER_OUTAGE, /* after failed reads */
+	REMOVAL_AFTER_HANG,   /* after an outage that no read noticed */
+	REMOVAL_IN_NEW_ERA,
+	REMOVAL_BEFORE_OUTAGE,
+	REMOVAL_BEFORE_NEW_ERA,
+	REMOVAL_TAKEN_BACK, /* it registers again */
+} removal_event_t;
+
+static const struct {
+	removal_event_t event;
+	uint64_t wait_ms; /* between the two events */
+	bool certain;
+} removal_cases[] = {
+	{REMOVAL_PLAIN, 0, true},
+	{REMOVAL_OF_DRAINING, 0, false},
+	{REMOVAL_UNUSABLE, 0, false},
+	{REMOVAL_IN_LISTING, 0, false},
+	{REMOVAL_AFTER_OUTAGE, 0, false},
+	{REMOVAL_AFTER_OUTAGE, 3900, false},
+	{REMOVAL_AFTER_OUTAGE, 4100, true},
+	{REMOVAL_AFTER_HANG, 3400, false},
+	{REMOVAL_AFTER_HANG, 2600, true},
+	{REMOVAL_IN_NEW_ERA, 0, false},
+	{REMOVAL_BEFORE_OUTAGE, 3900, false},
+	{REMOVAL_BEFORE_OUTAGE, 4100, true},
+	{REMOVAL_BEFORE_NEW_ERA, 4100, false},
+	{REMOVAL_TAKEN_BACK, 0, false},
+};
+
+/* Keeps in contact with the platform for a time, without changes. */
+static void pass_time(fixture_t *fixture, uint64_t ms)
+{
+	for (; ms >= 100; ms -= 100) {
+		advance(fixture, 100);
+		if (fixture->reading != READ_NONE)
+			respond_with(fixture, 100, NULL, 0);
+	}
+}
+
+static void respond_removal(fixture_t *fixture)
+{
+	const carob_catalog_change_t removal = removal_change("i-a", 102);
+
+	respond_with(fixture, 102, &removal, 1);
+}
+
+static void have_outage(fixture_t *fixture)
+{
+	respond_error(fixture, CAROB_EUNAVAILABLE);
+	advance(fixture, 200);
+	respond_with(fixture, 100, NULL, 0);
+}
+
+static void play_removal(fixture_t *fixture, removal_event_t event,
+			 uint64_t wait_ms)
+{
+	const carob_catalog_change_t drain = report("i-a", 101, 4, true);
+	const carob_catalog_change_t back = report("i-a", 103, 1, false);
+	const carob_catalog_change_t unusable = {
+		.kind = CAROB_CATALOG_UPSTREAM_UNUSABLE,
+		.revision = 102,
+		.upstream_id = CAROB_STR("i-a")};
+
+	switch (event) {
+	case REMOVAL_OF_DRAINING:
+		respond_with(fixture, 101, &drain, 1);
+		advance(fixture, 1200);
+		break;
+	case REMOVAL_UNUSABLE:
+		respond_with(fixture, 102, &unusable, 1);
+		return;
+	case REMOVAL_IN_LISTING:
+		respond_error(fixture, CAROB_ESTALE);
+		respond_copy(fixture, COPY_MISSING, 0);
+		return;
+	case REMOVAL_AFTER_OUTAGE:
+		have_outage(fixture);
+		pass_time(fixture, wait_ms);
+		break;
+	case REMOVAL_AFTER_HANG:
+		advance(fixture, wait_ms);
+		break;
+	case REMOVAL_IN_NEW_ERA:
+		fixture->era = 2;
+		respond_error(fixture, CAROB_ESTALE);
+		respond_copy(fixture, COPY_READY, 3);
+		break;
+	default:
+		break;
+	}
+	respond_removal(fixture);
+	advance(fixture, 1200);
+	if (event == REMOVAL_BEFORE_OUTAGE) {
+		pass_time(fixture, wait_ms - 1200);
+		have_outage(fixture);
+	} else if (event == REMOVAL_BEFORE_NEW_ERA) {
+		pass_time(fixture, wait_ms);
+		fixture->era = 2;
+		respond_error(fixture, CAROB_ESTALE);
+		respond_copy(fixture, COPY_MISSING, 0);
+	} else if (event == REMOVAL_TAKEN_BACK) {
+		respond_with(fixture, 103, &back, 1);
+	}
+}
+
+/* A removal is certain only if no outage or new era may have caused it: flows
+ * of an upstream that is known to be gone are reset. */
+static void test_certain_removals(void)
+{
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(removal_cases); i++) {
+		carob_upstream_index_t index;
+		bool certain;
+		fixture_t fixture;
+
+		begin_first_era(&fixture);
+		play_removal(&fixture, removal_cases[i].event,
+			     removal_cases[i].wait_ms);
+		index = carob_upstream_table_by_id(&fixture.upstreams,
+						   CAROB_STR("i-a"));
+		CU_ASSERT_NOT_EQUAL_FATAL(index, CAROB_UPSTREAM_NONE);
+		certain = fixture.upstreams.items[index].removed_ns != 0;
+		CU_ASSERT_EQUAL(certain, removal_cases[i].certain);
+		if (certain != removal_cases[i].certain)
+			printf("\ncase %zu", i);
+		fixture_dispose(&fixture);
+	}
+}
+
 int main(void)
 {
 	static const test_case_t cases[] = {
@@ -851,6 +985,7 @@
 		{"lists after an error of a new era", test_error_of_new_era},
 		{"two returns from a copy in a row", test_two_returns},
 		{"a response without an era", test_response_without_era},
+		{"which removals are certain", test_certain_removals},
 	};
 
 	carob_log_configure("test", NULL, CAROB_LOG_ERROR, NULL);
