--- a/src/flow/sources/catalog.c
+++ b/src/flow/sources/catalog.c
@@ -153,8 +153,7 @@
 {
 	uint64_t contact_ns = catalog->options.contact_ms * CAROB_NS_PER_MS;
 
-	return !catalog->options.upstreams->reconciling &&
-	       (catalog->recovered_ns == 0 ||
+	return (catalog->recovered_ns == 0 ||
 		now_ns(catalog) - catalog->recovered_ns >= contact_ns) &&
 	       catalog->gap_ns <= WATCH_WAIT_MS(catalog->options.contact_ms) *
 						  CAROB_NS_PER_MS +
@@ -328,6 +327,21 @@
 				revision);
 }
 
+static void apply_removal(carob_catalog_t *catalog,
+			  const carob_catalog_change_t *change)
+{
+	carob_upstream_table_t *upstreams = catalog->options.upstreams;
+
+	if (trusts_removals(catalog))
+		carob_upstream_table_note_removal(upstreams,
+						  change->upstream_id,
+						  change->revision,
+						  now_ns(catalog));
+	carob_upstream_table_remove(upstreams, change->upstream_id,
+				    change->revision, state_of_missing(catalog),
+				    now_ns(catalog));
+}
+
 static void apply_change(carob_catalog_t *catalog,
 			 const carob_catalog_change_t *change,
 			 const carob_catalog_reply_t *reply)
@@ -349,15 +363,7 @@
 					    now_ns(catalog));
 		break;
 	case CAROB_CATALOG_UPSTREAM_REMOVED:
-		if (trusts_removals(catalog))
-			carob_upstream_table_note_removal(upstreams,
-							  change->upstream_id,
-							  change->revision,
-							  now_ns(catalog));
-		carob_upstream_table_remove(upstreams, change->upstream_id,
-					    change->revision,
-					    state_of_missing(catalog),
-					    now_ns(catalog));
+		apply_removal(catalog, change);
 		break;
 	case CAROB_CATALOG_CONFIG:
 		error = apply_config(catalog, &change->config,
