--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -321,6 +321,8 @@
 	options.link = &self->link;
 	if (self->settings.share_load)
 		options.load_view = &self->load_view;
+	options.reset_gone = self->settings.share_load ||
+			     self->settings.cold_overage > 0;
 	error = carob_steering_new(&self->steering, &options);
 	if (!error)
 		set_pace(self, &self->settings);
