placement: measure zones in constant time, and find silent ones at the SYN

Measuring all members of a service every 20 ms grows with their number. Now at most 64 of each group are measured, in turn; the load is smoothed anyway. The failure detector counts SYNs that no upstream of a group has answered as they are retransmitted, so that a zone that is cut off is left after two of them. An answer from the zone while a caller waited shows that it is not cut off; without this rule two hanging upstreams made an instance leave its own zone.

--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -93,8 +93,8 @@
 	double own_idle;      /* smoothed load of its idle flows */
 	/** Share of the own zone's new flows that are placed here instead. */
 	double spill;
-	int rank;    /* best rank of a member; see placement_priv.h */
-	bool silent; /* several members leave SYNs unanswered, none answers */
+	uint32_t next_member; /* position at which to go on measuring */
+	int rank;	      /* best rank of a member; see placement_priv.h */
 } carob_group_load_t;
 
 /** The upstreams of one service and zone that are neither draining nor gone. */
@@ -106,6 +106,10 @@
 	carob_upstream_index_t *members;
 	uint32_t count;
 	uint32_t cap;
+	uint64_t answered_ns; /* latest `answered_ns` of its members */
+	/** Members with an unanswered SYN since then; failure_detector.h. */
+	uint32_t unanswered;
+	carob_upstream_index_t last_unanswered; /* the last one counted */
 	carob_group_load_t load;
 } carob_upstream_group_t;
 
--- a/src/flow/decisions/failure_detector.c
+++ b/src/flow/decisions/failure_detector.c
@@ -29,14 +29,39 @@
  * request may arrive in the packet that acknowledges the handshake, and flows
  * store their times in whole milliseconds. */
 #define TIME_TOLERANCE_NS (2 * CAROB_NS_PER_MS)
+/* An answer from the zone that is younger than this came while the caller
+ * waited to retransmit its SYN, at least 200 ms; the zone is not cut off. */
+#define ZONE_ANSWER_AGE_NS_MIN (150 * CAROB_NS_PER_MS)
 /* Other upstreams are known to answer if one has answered within this time. */
 #define LAST_ANSWER_AGE_NS_MAX (200 * CAROB_NS_PER_MS)
 
+static carob_upstream_group_t *group_of(const carob_upstream_table_t *table,
+					carob_upstream_index_t index)
+{
+	uint32_t group = table->items[index].group;
+
+	return group == CAROB_INDEX_END ? NULL : &table->groups[group];
+}
+
+/* Counts an upstream once, unless SYNs to several alternate. */
+static void count_unanswered(const carob_upstream_table_t *table,
+			     carob_upstream_index_t index, uint64_t now_ns)
+{
+	carob_upstream_group_t *group = group_of(table, index);
+
+	if (!group || now_ns - group->answered_ns < ZONE_ANSWER_AGE_NS_MIN ||
+	    (group->unanswered > 0 && group->last_unanswered == index))
+		return;
+	group->unanswered++;
+	group->last_unanswered = index;
+}
+
 void carob_failure_detector_record_answer(carob_upstream_table_t *table,
 					  carob_upstream_index_t index,
 					  uint64_t now_ns)
 {
 	carob_upstream_t *upstream = &table->items[index];
+	carob_upstream_group_t *group = group_of(table, index);
 
 	if (upstream->unanswered_syns >= SYNS_TO_AVOID || upstream->stalled)
 		CAROB_LOG(CAROB_EV_UPSTREAM_ANSWERS,
@@ -49,6 +74,10 @@
 	upstream->avoid_until_ns = 0;
 	upstream->answered_ns = now_ns;
 	table->answered_ns = now_ns;
+	if (!group)
+		return;
+	group->answered_ns = now_ns;
+	group->unanswered = 0;
 }
 
 static void log_avoided(const carob_upstream_t *upstream)
@@ -70,6 +99,7 @@
 
 	upstream->unanswered_syns++;
 	upstream->evidence_ns = now_ns;
+	count_unanswered(table, index, now_ns);
 	if (upstream->unanswered_syns < SYNS_TO_AVOID)
 		return;
 	avoid_ns = upstream->unanswered_syns * AVOID_NS;
--- a/src/flow/decisions/shared_placement.c
+++ b/src/flow/decisions/shared_placement.c
@@ -15,10 +15,10 @@
 #define LASTING_PART 0.3
 /* Positions that are tried by hash to find as many candidates. */
 #define PROBES 8
-/* Loads of zones are measured this often, and for large groups less often, so
- * that they take at most some thousandths of the time. */
-#define MEASURE_NS	      (20 * CAROB_NS_PER_MS)
-#define MEASURE_NS_PER_MEMBER (10 * CAROB_NS_PER_US)
+/* Loads of zones are measured this often, each time on so many members of a
+ * group in turn: a choice must not cost more the more upstreams there are. */
+#define MEASURE_NS	(20 * CAROB_NS_PER_MS)
+#define MEASURE_MEMBERS 64
 /* Time constants of the load of a zone. It falls more slowly than it rises, so
  * that a zone whose reports are missing does not look idle at once. */
 #define RISE_S 0.3
@@ -155,8 +155,6 @@
 	double own_pending;
 	double own_idle;
 	uint32_t count; /* members that can be chosen */
-	uint32_t unanswered;
-	uint64_t answered_ns;
 	int rank;
 } sums_t;
 
@@ -166,8 +164,6 @@
 	const carob_upstream_t *upstream = &query->table->items[index];
 	int rank = carob_placement_rank(upstream, index, query->flow);
 
-	if (upstream->answered_ns > sums->answered_ns)
-		sums->answered_ns = upstream->answered_ns;
 	if (rank < sums->rank)
 		sums->rank = rank;
 	if (rank == CAROB_PLACEMENT_UNUSABLE)
@@ -181,21 +177,25 @@
 	sums->own_idle += carob_placement_idle_load(upstream);
 }
 
-static uint32_t count_unanswered(const carob_upstream_table_t *table,
-				 const carob_upstream_group_t *group,
-				 uint64_t since_ns)
+/* Adds the members whose turn it is, scaled to the whole group. */
+static void add_members(sums_t *sums, carob_upstream_group_t *group,
+			const shared_query_t *query)
 {
-	uint32_t count = 0;
+	uint32_t count = group->count < MEASURE_MEMBERS ? group->count
+							: MEASURE_MEMBERS;
+	uint32_t at = group->load.next_member;
+	double scale = count > 0 ? (double)group->count / count : 0;
 
-	for (uint32_t i = 0; i < group->count; i++) {
-		const carob_upstream_t *upstream =
-			&table->items[group->members[i]];
-
-		if (upstream->unanswered_syns > 0 &&
-		    upstream->evidence_ns > since_ns)
-			count++;
+	for (uint32_t i = 0; i < count; i++, at++) {
+		if (at >= group->count)
+			at = 0;
+		add_member(sums, query, group->members[at]);
 	}
-	return count;
+	group->load.next_member = at;
+	sums->slots *= scale;
+	sums->load *= scale;
+	sums->own_pending *= scale;
+	sums->own_idle *= scale;
 }
 
 static double smooth(double old, double new, double step_s, double time_s)
@@ -246,11 +246,8 @@
 	bool is_first = load->measured_ns == 0;
 	double per_slot;
 
-	for (uint32_t i = 0; i < group->count; i++)
-		add_member(&sums, query, group->members[i]);
+	add_members(&sums, group, query);
 	set_load(load, &sums, step_s, is_first);
-	load->silent = count_unanswered(query->table, group,
-					sums.answered_ns) >= SILENT_MEMBERS;
 	per_slot = sums.slots > 0 ? sums.load / sums.slots : 0;
 	if (home)
 		per_slot *= busy_share(&home->load);
@@ -300,15 +297,6 @@
 	return NULL;
 }
 
-static uint64_t measure_interval_ns(const shared_query_t *query)
-{
-	uint64_t count = 0;
-
-	CAROB_UPSTREAM_GROUPS_OF(group, query->table, query->flow->service)
-	count += group->count;
-	return MEASURE_NS + count * MEASURE_NS_PER_MEMBER;
-}
-
 /* Measures the groups of the service if the last time was long enough ago. */
 static void measure_groups(const shared_query_t *query)
 {
@@ -323,8 +311,7 @@
 	if (!first)
 		return;
 	passed_ns = query->flow->now_ns - first->load.measured_ns;
-	if (first->load.measured_ns != 0 &&
-	    passed_ns < measure_interval_ns(query))
+	if (first->load.measured_ns != 0 && passed_ns < MEASURE_NS)
 		return;
 	flow.except = CAROB_UPSTREAM_NONE;
 	any.flow = &flow;
@@ -359,7 +346,7 @@
 		    const carob_upstream_group_t *group, int rank)
 {
 	return group->count > 0 && group->load.rank <= rank &&
-	       (!group->load.silent || seeks_recovery(query));
+	       (group->unanswered < SILENT_MEMBERS || seeks_recovery(query));
 }
 
 /* Returns how much of the flows a group gets. While the own zone is open, it
--- a/tests/flow/flow_fixture.h
+++ b/tests/flow/flow_fixture.h
@@ -6,6 +6,7 @@
 #ifndef CAROB_TESTS_FLOW_FIXTURE_H
 #define CAROB_TESTS_FLOW_FIXTURE_H
 
+#include "carobtrail/failure_detector.h"
 #include "carobtrail/steering.h"
 #include "test_runner.h"
 
@@ -27,7 +28,7 @@
 	bool draining;
 	float others_load;
 	float others_late;
-	uint32_t unanswered_syns; /* since an answer at FIXTURE_START */
+	uint32_t unanswered_syns;
 } fixture_upstream_t;
 
 /**
@@ -64,9 +65,8 @@
 	table->items[index].pending = row->pending;
 	table->items[index].others_load = row->others_load;
 	table->items[index].others_late = row->others_late;
-	table->items[index].unanswered_syns = row->unanswered_syns;
-	table->items[index].answered_ns = FIXTURE_START;
-	table->items[index].evidence_ns = FIXTURE_START + row->unanswered_syns;
+	for (uint32_t i = 0; i < row->unanswered_syns; i++)
+		carob_failure_detector_record_syn(table, index, FIXTURE_START);
 }
 
 /** @return the id of an upstream, "" for CAROB_UPSTREAM_NONE */
--- a/tests/flow/shared_placement_test.c
+++ b/tests/flow/shared_placement_test.c
@@ -203,6 +203,57 @@
 	}
 }
 
+/* Upstreams of another zone that answer before, after, or at no time near two
+ * unanswered SYNs; the own zone is full. A zone that is cut off must be left at
+ * once, and one that answers must not be. */
+static const struct {
+	const char *name;
+	int64_t answer_ms; /* after the SYNs; 0: none */
+	uint32_t members;  /* upstreams that left a SYN unanswered */
+	bool is_left;
+} silence_cases[] = {
+	{"two SYNs and no answer", 0, 2, true},
+	{"an answer long before", -400, 2, true},
+	{"an answer while the callers waited", -100, 2, false},
+	{"an answer after the SYNs", 5, 2, false},
+	{"two SYNs to one upstream", 0, 1, false},
+};
+
+static void test_silent_zone(void)
+{
+	static const fixture_upstream_t rows[] = {AT_HOME(1, .others_load = 9),
+						  AWAY(2), AWAY(3), AWAY(4)};
+	carob_load_view_t view = make_view(KNOWS_LOAD);
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(silence_cases); i++) {
+		CAROB_CLEANUP(carob_upstream_table_dispose)
+		carob_upstream_table_t table = {0};
+		uint64_t syn_ns = FIXTURE_START - 50 * CAROB_NS_PER_MS;
+		uint64_t answer_ns =
+			syn_ns + (uint64_t)(silence_cases[i].answer_ms *
+					    CAROB_NS_PER_MS);
+		int64_t after_ms = silence_cases[i].answer_ms;
+		double share;
+
+		for (size_t k = 0; k < CAROB_ARRAY_SIZE(rows); k++)
+			fixture_put(&table, &rows[k], k + 1);
+		if (after_ms < 0)
+			carob_failure_detector_record_answer(&table, 3,
+							     answer_ns);
+		for (uint32_t k = 0; k < 2; k++)
+			carob_failure_detector_record_syn(
+				&table, 1 + k % silence_cases[i].members,
+				syn_ns);
+		if (after_ms > 0)
+			carob_failure_detector_record_answer(&table, 3,
+							     answer_ns);
+		share = share_of(&table, &view, "", "i-4");
+		CU_ASSERT_EQUAL(share < 0.1, silence_cases[i].is_left);
+		if ((share < 0.1) != silence_cases[i].is_left)
+			printf("\n%s: %.3f", silence_cases[i].name, share);
+	}
+}
+
 #define MANY 30
 
 /* Adds upstreams of two zones, in one order or the other. */
@@ -441,6 +492,7 @@
 {
 	static const test_case_t cases[] = {
 		{"shares of single upstreams", test_shares},
+		{"a zone that does not answer", test_silent_zone},
 		{"instances with the same view agree", test_instances_agree},
 		{"loads of deployments", test_loads},
 	};
