--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -111,7 +111,6 @@
 	/** Attempts since `answered_ns` after which callers tried again at
 	 * once; see attempt_table.h. */
 	uint32_t refused_syns;
-	uint64_t refused_ns; /* time of the last of them */
 	/** Requests that callers have retransmitted since `answered_ns`. */
 	uint32_t repeated_requests;
 	bool stalled;	      /* a request was retransmitted for too long */
@@ -144,8 +143,8 @@
 	double own_idle;      /* smoothed load of its idle flows */
 	/** Share of the own zone's new flows that are placed here instead. */
 	double spill;
-	int rank;    /* best rank of a member; see placement_priv.h */
-	bool silent; /* several members leave SYNs unanswered, none answers */
+	uint32_t next_member; /* position at which to go on measuring */
+	int rank;	      /* best rank of a member; see placement_priv.h */
 } carob_group_load_t;
 
 /** The upstreams of one service and zone that are neither draining nor gone. */
@@ -157,6 +156,10 @@
 	carob_upstream_index_t *members;
 	uint32_t count;
 	uint32_t cap;
+	uint64_t answered_ns; /* latest `answered_ns` of its members */
+	/** Members with an unanswered SYN since then; failure_detector.h. */
+	uint32_t unanswered;
+	carob_upstream_index_t last_unanswered; /* the last one counted */
 	carob_group_load_t load;
 } carob_upstream_group_t;
 
@@ -184,7 +187,6 @@
 	uint64_t answered_ns; /* latest `answered_ns` of all upstreams */
 	/** Rises when an upstream changes its state, starts or is cold. */
 	uint64_t changes;
-	uint64_t refusals; /* rises with the first refused SYN of an upstream */
 } carob_upstream_table_t;
 
 /** @return the steering tag for an upstream's number; never 0 */
