--- a/src/flow/sources/catalog.c
+++ b/src/flow/sources/catalog.c
@@ -424,7 +424,6 @@
 			 const carob_catalog_change_t *change,
 			 const carob_catalog_reply_t *reply)
 {
-	carob_upstream_table_t *upstreams = catalog->options.upstreams;
 	int error = 0;
 
 	switch (change->kind) {
