admission: decide on new flows by the load of all instances

An instance sees one request or none on an upstream when 28 or 135 instances share 240 slots. Its own limit is then never reached: in a crowd, every flow is accepted, queues overflow, and what is shed with 503 is shed without regard to priorities and callers.

With a view of the load of all instances, a service has a room, of which each instance takes its part. Above its limit an instance defers a flow if its slots can serve the caller's next SYN copies, and refuses it otherwise. Higher priorities have a higher limit, the lowest keeps a floor, callers that have had more than others yield, and refused callers go first. Overloads are logged at their beginning and end, and counted by reason and priority. Without a view all decisions are the former ones.

--- a/include/carobtrail/admission.h
+++ b/include/carobtrail/admission.h
@@ -57,6 +57,11 @@
 	uint8_t syn_copy; /* how often the caller has sent the SYN before */
 	const carob_load_view_t *view; /* NULL: load is not shared */
 	uint64_t now_ns;
+	/** The members below are for shared_admission.h only. */
+	uint32_t caller_ip;
+	uint32_t priority;	 /* of the route; 0 is the highest */
+	uint32_t least_priority; /* of all routes */
+	uint32_t target_ms;	 /* of the route; 0: none */
 } carob_admission_query_t;
 
 /** The load and the limit that an admission decision compares. */
--- a/include/carobtrail/log.h
+++ b/include/carobtrail/log.h
@@ -97,6 +97,10 @@
 	  "request records of the predecessor taken over")                     \
 	X(CAROB_EV_FLOW_DECIDED, 4010, INFO,                                   \
 	  "forwarding decision for a packet")                                  \
+	X(CAROB_EV_OVERLOAD_BEGUN, 4011, WARN,                                 \
+	  "a service is overloaded: new flows are refused or deferred")        \
+	X(CAROB_EV_OVERLOAD_ENDED, 4012, INFO,                                 \
+	  "the overload of a service has ended")                               \
 	X(CAROB_EV_UPSTREAM_STATE, 5001, INFO, "state of an upstream changed") \
 	X(CAROB_EV_UPSTREAM_AVOIDED, 5002, WARN,                               \
 	  "an upstream leaves SYNs or a request unanswered and is avoided")    \
--- a/include/carobtrail/steering.h
+++ b/include/carobtrail/steering.h
@@ -12,6 +12,7 @@
 #include "carobtrail/link_meter.h"
 #include "carobtrail/placement.h"
 #include "carobtrail/route_table.h"
+#include "carobtrail/shared_admission.h"
 
 typedef struct carob_steering carob_steering_t;
 
@@ -60,6 +61,8 @@
 	const carob_upstream_t *passed_over;
 	/** Load at the admission decision; all zero if none was made. */
 	carob_admission_load_t load;
+	/** The same if the load of all instances was known. */
+	carob_shared_load_t shared_load;
 	uint32_t reset_seq; /* sequence number of a reset */
 } carob_steer_result_t;
 
@@ -85,12 +88,15 @@
 	const carob_link_meter_t *link;
 	/** Load of other instances, borrowed; NULL: load is not shared. */
 	const carob_load_view_t *load_view;
+	/** Part of the room for the lowest priority; with `load_view` only. */
+	double low_priority_floor;
 } carob_steering_options_t;
 
 #define CAROB_STEERING_OPTIONS_VERSION 1
 #define CAROB_STEERING_OPTIONS_INIT                                            \
 	{                                                                      \
-		.version = CAROB_STEERING_OPTIONS_VERSION                      \
+		.version = CAROB_STEERING_OPTIONS_VERSION,                     \
+		.low_priority_floor = CAROB_LOW_PRIORITY_FLOOR_DEFAULT         \
 	}
 
 /**
@@ -173,6 +179,17 @@
 const carob_steering_counters_t *
 carob_steering_counters(const carob_steering_t *steering);
 
+/**
+ * @return the counters of admission control by the load of all instances,
+ *         borrowed, or NULL if load is not shared
+ */
+const carob_shared_counters_t *
+carob_steering_shared_counters(const carob_steering_t *steering);
+
+/** Changes `low_priority_floor` of the options. */
+void carob_steering_set_low_priority_floor(carob_steering_t *steering,
+					   double floor);
+
 /** @return the text of a reason, for logs and metrics */
 const char *carob_steer_reason_text(carob_steer_reason_t reason);
 
--- a/src/flow/steering/steering.c
+++ b/src/flow/steering/steering.c
@@ -75,8 +75,18 @@
 		.syn_copy = packet->syn_copy,
 		.view = steering->load_view,
 		.now_ns = carob_steering_now_ns(steering),
+		.caller_ip = packet->caller.ip,
+		.priority = route->priority,
+		.least_priority = steering->routes->config.least_priority,
+		.target_ms = route->target_ms,
 	};
 
+	if (carob_shared_admission_applies(steering->shared_admission,
+					   query.view, query.now_ns))
+		return carob_shared_admission_decide(&out->shared_load,
+						     steering->shared_admission,
+						     steering->upstreams,
+						     &query);
 	carob_admission_measure(&out->load, &steering->admission,
 				steering->upstreams, &query);
 	return carob_admission_decide(&steering->admission, &out->load, &query);
@@ -268,6 +278,22 @@
 	return &steering->counters;
 }
 
+const carob_shared_counters_t *
+carob_steering_shared_counters(const carob_steering_t *steering)
+{
+	return steering->shared_admission ? carob_shared_admission_counters(
+						    steering->shared_admission)
+					  : NULL;
+}
+
+void carob_steering_set_low_priority_floor(carob_steering_t *steering,
+					   double floor)
+{
+	if (steering->shared_admission)
+		carob_shared_admission_set_floor(steering->shared_admission,
+						 floor);
+}
+
 int carob_steering_new(carob_steering_t **out,
 		       const carob_steering_options_t *options)
 {
@@ -293,6 +319,11 @@
 	error = carob_name_table_add(&steering->home_zone,
 				     &options->upstreams->zones,
 				     options->home_zone);
+	if (!error && options->load_view)
+		error = carob_shared_admission_new(
+			&steering->shared_admission,
+			options->low_priority_floor,
+			carob_steering_now_ns(steering));
 	if (error) {
 		free(steering);
 		return error;
@@ -306,6 +337,7 @@
 	if (!steering)
 		return;
 	carob_admission_dispose(&steering->admission);
+	carob_shared_admission_free(steering->shared_admission);
 	carob_flow_table_dispose(&steering->flows);
 	free(steering);
 }
--- a/src/flow/steering/steering_flow.c
+++ b/src/flow/steering/steering_flow.c
@@ -143,16 +143,21 @@
 			    const carob_flow_t *flow, uint32_t ms)
 {
 	carob_endpoint_t endpoint = {flow->route_ip, flow->route_port};
+	carob_name_id_t service =
+		steering->upstreams->items[flow->upstream].service;
+	uint64_t now = carob_steering_now_ns(steering);
 	const carob_route_t *route = NULL;
 
 	carob_histogram_record(&steering->counters.answer_ms, ms);
 	(void)carob_route_table_find(&route, steering->routes, endpoint);
-	if (route && route->target_ms > 0)
-		carob_admission_record_response(
-			&steering->admission,
-			steering->upstreams->items[flow->upstream].service,
-			ms <= route->target_ms,
-			carob_steering_now_ns(steering));
+	if (!route || route->target_ms == 0)
+		return;
+	carob_admission_record_response(&steering->admission, service,
+					ms <= route->target_ms, now);
+	if (steering->shared_admission)
+		carob_shared_admission_record_response(
+			steering->shared_admission, service, ms,
+			route->target_ms);
 }
 
 static void track_response(carob_steering_t *steering, carob_flow_t *flow,
--- a/src/flow/steering/steering_priv.h
+++ b/src/flow/steering/steering_priv.h
@@ -20,6 +20,8 @@
 	const carob_load_view_t *load_view; /* NULL: load is not shared */
 	carob_flow_table_t flows;
 	carob_admission_t admission;
+	/** NULL: load is not shared. */
+	carob_shared_admission_t *shared_admission;
 	/** Upstream whose flows are to be reset, or CAROB_UPSTREAM_NONE. */
 	carob_upstream_index_t silent_upstream;
 	carob_steering_counters_t counters;
--- a/src/flow/steering/steering_sweep.c
+++ b/src/flow/steering/steering_sweep.c
@@ -104,4 +104,8 @@
 
 	carob_flow_table_sweep(&steering->flows, buckets,
 			       &steering->expiry_visitor);
+	if (steering->shared_admission)
+		carob_shared_admission_check(steering->shared_admission,
+					     steering->upstreams,
+					     carob_steering_now_ns(steering));
 }
