flowd: setting, metrics and log fields of admission by the load of all

low_priority_floor (0 to 1, default 0.1) is the part of the slots that the lowest priority keeps; it changes at once. Metrics count refused and deferred flows by reason and priority, the use of the floor, and overloads. The decision about a new flow (4010) says by which load and limit it was made, so that a refusal can be explained from its line. Metrics and fields appear only while load is shared.

--- a/src/flowd/frontend.c
+++ b/src/flowd/frontend.c
@@ -19,6 +19,9 @@
  * above the rate of new flows that an instance has in current deployments, and
  * bounds the cost of a flood of new flows. */
 #define LOG_LINES_PER_S 200
+/* Last fields of a logged decision, left out unless the load of all instances
+ * was used. */
+#define SHARED_FIELDS 6
 
 struct flowd_frontend {
 	carob_udp_handler_t handler;
@@ -57,6 +60,51 @@
 	carob_addr_format(out, &addr);
 }
 
+static void write_decision(const flowd_frontend_t *frontend,
+			   const carob_flow_packet_t *packet,
+			   const carob_steer_result_t *result,
+			   const char *caller, const char *route)
+{
+	const carob_upstream_t *upstream = result->upstream;
+	const carob_shared_load_t *shared = &result->shared_load;
+	const carob_log_field_t fields[] = {
+		CAROB_FIELD_CSTR("caller", caller),
+		CAROB_FIELD_CSTR("route", route),
+		CAROB_FIELD_U64("seq", packet->seq),
+		CAROB_FIELD_U64("copy", packet->syn_copy),
+		CAROB_FIELD_U64("tag", packet->steering_tag),
+		CAROB_FIELD_CSTR("decision",
+				 carob_steer_reason_text(result->reason)),
+		CAROB_FIELD_CSTR("upstream", upstream ? upstream->id : ""),
+		CAROB_FIELD_CSTR("passed_over",
+				 result->passed_over ? result->passed_over->id
+						     : ""),
+		CAROB_FIELD_U64("service_pending", result->load.pending),
+		CAROB_FIELD_U64("service_limit", result->load.limit),
+		CAROB_FIELD_U64("pending", upstream ? upstream->pending : 0),
+		CAROB_FIELD_U64("open_flows",
+				upstream ? upstream->open_flows : 0),
+		CAROB_FIELD_U64("revision",
+				carob_catalog_revision(frontend->catalog)),
+		CAROB_FIELD_U64("age_ms",
+				carob_catalog_age_ms(frontend->catalog)),
+		CAROB_FIELD_CSTR("admission",
+				 carob_shared_reason_text(shared->reason)),
+		CAROB_FIELD_U64("load",
+				(uint64_t)(shared->own + shared->others)),
+		CAROB_FIELD_U64("room", (uint64_t)shared->room),
+		CAROB_FIELD_U64("own_load", (uint64_t)shared->own),
+		CAROB_FIELD_U64("own_limit", (uint64_t)shared->limit),
+		CAROB_FIELD_U64("view_age_ms", shared->view_age_ms),
+	};
+
+	carob_log_write(CAROB_EV_FLOW_DECIDED, fields,
+			CAROB_ARRAY_SIZE(fields) -
+				(shared->reason == CAROB_SHARED_NONE
+					 ? SHARED_FIELDS
+					 : 0));
+}
+
 /* Logs the decision about a packet. Caller, route and the sequence number of
  * its SYN together identify a flow. */
 static void log_decision(flowd_frontend_t *frontend,
@@ -65,32 +113,12 @@
 {
 	char caller[CAROB_ADDR_TEXT_MAX];
 	char route[CAROB_ADDR_TEXT_MAX];
-	const carob_upstream_t *upstream = result->upstream;
 
 	if (!may_log(frontend))
 		return;
 	format_endpoint(caller, packet->caller);
 	format_endpoint(route, packet->route);
-	CAROB_LOG(CAROB_EV_FLOW_DECIDED, CAROB_FIELD_CSTR("caller", caller),
-		  CAROB_FIELD_CSTR("route", route),
-		  CAROB_FIELD_U64("seq", packet->seq),
-		  CAROB_FIELD_U64("copy", packet->syn_copy),
-		  CAROB_FIELD_U64("tag", packet->steering_tag),
-		  CAROB_FIELD_CSTR("decision",
-				   carob_steer_reason_text(result->reason)),
-		  CAROB_FIELD_CSTR("upstream", upstream ? upstream->id : ""),
-		  CAROB_FIELD_CSTR("passed_over",
-				   result->passed_over ? result->passed_over->id
-						       : ""),
-		  CAROB_FIELD_U64("service_pending", result->load.pending),
-		  CAROB_FIELD_U64("service_limit", result->load.limit),
-		  CAROB_FIELD_U64("pending", upstream ? upstream->pending : 0),
-		  CAROB_FIELD_U64("open_flows",
-				  upstream ? upstream->open_flows : 0),
-		  CAROB_FIELD_U64("revision",
-				  carob_catalog_revision(frontend->catalog)),
-		  CAROB_FIELD_U64("age_ms",
-				  carob_catalog_age_ms(frontend->catalog)));
+	write_decision(frontend, packet, result, caller, route);
 }
 
 static void count_sent(flowd_frontend_t *frontend, uint64_t bytes)
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -236,6 +236,8 @@
 	self->settings.instance = settings.instance;
 	self->settings.zone = settings.zone;
 	self->settings.stop_grace_ms = settings.stop_grace_ms;
+	carob_steering_set_low_priority_floor(self->steering,
+					      settings.low_priority_floor);
 	log_settings(&settings);
 	carob_catalog_set_deadlines(self->catalog, settings.contact_ms,
 				    settings.apply_ms);
@@ -269,6 +271,7 @@
 	options.home_zone = self->settings.zone;
 	carob_link_meter_init(&self->link, self->settings.link_mbps);
 	options.link = &self->link;
+	options.low_priority_floor = self->settings.low_priority_floor;
 	return carob_steering_new(&self->steering, &options);
 }
 
--- a/src/flowd/metrics.c
+++ b/src/flowd/metrics.c
@@ -47,6 +47,46 @@
 	return error;
 }
 
+static int write_shared_row(carob_buf_t *out, const char *name,
+			    const uint64_t *counts,
+			    carob_shared_reason_t reason)
+{
+	int error = 0;
+
+	for (int i = 0; !error && i < CAROB_ADMISSION_PRIORITIES; i++)
+		error = carob_buf_printf(
+			out,
+			"carob_%s{reason=\"%s\",priority=\"%d\"} %" PRIu64 "\n",
+			name, carob_shared_reason_text(reason), i, counts[i]);
+	return error;
+}
+
+/* Flows that were turned away by the load of all instances. */
+static int write_shared(carob_buf_t *out,
+			const carob_shared_counters_t *counters)
+{
+	static const carob_shared_reason_t rows[] = {CAROB_SHARED_NO_ROOM,
+						     CAROB_SHARED_CALLER_SHARE};
+	metric_t metrics[] = {{"admission_floor_used", 0}, {"overloads", 0}};
+	int error = 0;
+
+	if (!counters)
+		return 0;
+	for (size_t i = 0; !error && i < CAROB_ARRAY_SIZE(rows); i++) {
+		error = write_shared_row(out, "flows_refused",
+					 counters->refused[rows[i]], rows[i]);
+		if (!error)
+			error = write_shared_row(out, "flows_deferred",
+						 counters->deferred[rows[i]],
+						 rows[i]);
+	}
+	metrics[0].value = counters->floor_used;
+	metrics[1].value = counters->overloads;
+	if (!error)
+		error = write_metrics(out, metrics, CAROB_ARRAY_SIZE(metrics));
+	return error;
+}
+
 static int write_upstreams(carob_buf_t *out,
 			   const carob_upstream_table_t *upstreams)
 {
@@ -122,6 +162,9 @@
 	error = write_frontend(out, source);
 	if (!error)
 		error = write_decisions(out, steering);
+	if (!error)
+		error = write_shared(
+			out, carob_steering_shared_counters(source->steering));
 	if (!error)
 		error = write_histogram(out, "connect_ms",
 					&steering->connect_ms);
--- a/src/flowd/settings.c
+++ b/src/flowd/settings.c
@@ -1,5 +1,7 @@
 #include "settings.h"
 
+#include "carobtrail/shared_admission.h"
+
 #include <string.h>
 
 /* Maximum length of the name of an instance or a zone. */
@@ -20,10 +22,11 @@
 #define RELAY_UPSTREAMS_MAX	1000000
 
 static const char *const keys[] = {
-	"instance",	   "zone",	   "packets",	  "readiness",
-	"metrics",	   "store",	   "first_start", "contact_ms",
-	"apply_ms",	   "stop_grace_s", "log_level",	  "relay",
-	"relay_upstreams", "link_mbps",
+	"instance",	   "zone",	 "packets",
+	"readiness",	   "metrics",	 "store",
+	"first_start",	   "contact_ms", "apply_ms",
+	"stop_grace_s",	   "log_level",	 "relay",
+	"relay_upstreams", "link_mbps",	 "low_priority_floor",
 };
 
 static int read_identity(flowd_settings_t *out, const carob_json_node_t *root)
@@ -116,6 +119,10 @@
 		error = carob_json_get_real_or(&out->link_mbps, root,
 					       "link_mbps", 0, LINK_MBPS_MAX,
 					       0);
+	if (!error)
+		error = carob_json_get_real_or(
+			&out->low_priority_floor, root, "low_priority_floor", 0,
+			1, CAROB_LOW_PRIORITY_FLOOR_DEFAULT);
 	if (!error)
 		error = carob_json_get_bool_or(&out->first_start, root,
 					       "first_start", false);
--- a/src/flowd/settings.h
+++ b/src/flowd/settings.h
@@ -18,12 +18,13 @@
 	carob_addr_t store;
 	carob_addr_t relay; /* HTTP address for instances of the zone that read
 			       from this one; family 0: none do */
-	uint32_t relay_upstreams; /* fewer upstreams need no readers */
-	bool first_start;	  /* first start of the whole deployment */
-	uint32_t contact_ms;	  /* see carob_catalog_options_t */
-	uint32_t apply_ms;	  /* see carob_catalog_options_t */
-	double link_mbps;	  /* rate of the own link; 0: not known */
-	uint32_t stop_grace_ms;	  /* time from SIGTERM to SIGKILL */
+	uint32_t relay_upstreams;  /* fewer upstreams need no readers */
+	bool first_start;	   /* first start of the whole deployment */
+	uint32_t contact_ms;	   /* see carob_catalog_options_t */
+	uint32_t apply_ms;	   /* see carob_catalog_options_t */
+	double link_mbps;	   /* rate of the own link; 0: not known */
+	uint32_t stop_grace_ms;	   /* time from SIGTERM to SIGKILL */
+	double low_priority_floor; /* see carob_steering_options_t */
 } flowd_settings_t;
 
 /**
--- a/tests/flowd/settings_test.c
+++ b/tests/flowd/settings_test.c
@@ -37,6 +37,14 @@
 	{"{" REQUIRED ",\"link_mbps\":20.5}", 0, NULL},
 	{"{" REQUIRED ",\"link_mbps\":-1}", CAROB_EINVALID, "link_mbps"},
 	{"{" REQUIRED ",\"link_mbps\":\"20\"}", CAROB_EINVALID, "link_mbps"},
+	{"{" REQUIRED ",\"low_priority_floor\":0}", 0, NULL},
+	{"{" REQUIRED ",\"low_priority_floor\":1}", 0, NULL},
+	{"{" REQUIRED ",\"low_priority_floor\":-0.1}", CAROB_EINVALID,
+	 "low_priority_floor"},
+	{"{" REQUIRED ",\"low_priority_floor\":1.01}", CAROB_EINVALID,
+	 "low_priority_floor"},
+	{"{" REQUIRED ",\"low_priority_floor\":\"0.1\"}", CAROB_EINVALID,
+	 "low_priority_floor"},
 	{"{" REQUIRED ",\"stop_grace_s\":1e300}", CAROB_EINVALID,
 	 "stop_grace_s"},
 	{"{}", CAROB_EINVALID, "instance"},
@@ -111,6 +119,7 @@
 	CU_ASSERT_EQUAL(settings.apply_ms, 3000);
 	CU_ASSERT_EQUAL(settings.stop_grace_ms, 6000);
 	CU_ASSERT_EQUAL(settings.metrics.family, 0);
+	CU_ASSERT_DOUBLE_EQUAL(settings.low_priority_floor, 0.1, 1e-9);
 	CU_ASSERT_EQUAL(settings.packets.port, 8172);
 	CU_ASSERT_FALSE(settings.first_start);
 	carob_json_doc_free(doc);
