--- a/tests/flow/shared_admission_test.c
+++ b/tests/flow/shared_admission_test.c
@@ -91,6 +91,7 @@
 	{0, 0, 0, 1, 2, 0, CAROB_ADMISSION_ACCEPT},
 	{290, 0, 107, 1, 2, 0, CAROB_ADMISSION_ACCEPT},
 	{1450, 0, 536, 1, 2, 0, CAROB_ADMISSION_ACCEPT},
+	{1500, 22, 536, 1, 2, 0, CAROB_ADMISSION_ACCEPT},
 	/* Slots are free elsewhere: more than an equal part may be used. */
 	{50, 22, 0, 1, 2, 0, CAROB_ADMISSION_ACCEPT},
 	/* The queues are full in the view; an equal part may be used. */
@@ -174,6 +175,96 @@
 	}
 }
 
+/* Upstreams that shed answer within a millisecond. What an instance lets in must
+ * not rise by that: an instance in front of full queues would let in all. */
+static void test_sheds(void)
+{
+	static fixture_t fixture;
+	carob_shared_load_t load;
+	uint32_t accepted = 0;
+
+	start(&fixture);
+	set_load(&fixture, 600, 0, 0);
+	for (uint32_t i = 0; i < 5000; i++) {
+		fixture.query.now_ns += MS / 5;
+		fixture.query.caller_ip = i;
+		fixture.query.syn_copy = 2;
+		accepted += decide(&fixture, &load) == CAROB_ADMISSION_ACCEPT;
+	}
+	/* In a second, the limit once for each 40 ms, and a burst. */
+	CU_ASSERT_TRUE(accepted <= (25 * 1.2 + 1) * load.limit);
+	CU_ASSERT_TRUE(accepted >= 25 * 0.9 * load.limit);
+	stop(&fixture);
+}
+
+/* Responses that have waited in a queue, or come from upstreams that shed, say
+ * nothing about the work time, on which the room depends. */
+static void test_work_time(void)
+{
+	static const struct {
+		double others;
+		uint32_t own;
+		uint32_t response_ms;
+		double room; /* at a target of 300 ms */
+	} rows[] = {
+		{10, 0, 200, HOSTS * SLOTS * 1.5}, /* 300 / 200 */
+		{10, 0, 400, HOSTS * SLOTS},	   /* all late */
+		{600, 30, 200, HOSTS * SLOTS * 4.2},
+		{10, 30, 200, HOSTS * SLOTS * 4.2},
+		{600, 30, 1, HOSTS * SLOTS * 4.2},
+	};
+	static fixture_t fixture;
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(rows); i++) {
+		carob_shared_load_t load;
+
+		start(&fixture);
+		set_load(&fixture, rows[i].others, rows[i].own, 0);
+		(void)decide(&fixture, &load);
+		for (uint32_t response = 0; response < 64; response++)
+			carob_shared_admission_record_response(
+				fixture.admission, fixture.query.service,
+				rows[i].response_ms, 300);
+		(void)decide(&fixture, &load);
+		CU_ASSERT_DOUBLE_EQUAL(load.room, rows[i].room, 1);
+		stop(&fixture);
+	}
+}
+
+/* The former decisions apply before the first view, and once the number of
+ * instances has expired. */
+static void test_applies(void)
+{
+	static const struct {
+		bool has_view;
+		uint64_t updated_ns;
+		uint32_t instances;
+		uint64_t later_ms;
+		bool applies;
+	} rows[] = {
+		{false, 0, 0, 0, false},
+		{true, 0, 0, 0, false},
+		{true, 0, INSTANCES, 0, false},
+		{true, FIXTURE_START, 0, 0, false},
+		{true, FIXTURE_START, INSTANCES, 0, true},
+		{true, FIXTURE_START, INSTANCES, 59999, true},
+		{true, FIXTURE_START, INSTANCES, 60000, false},
+	};
+	static fixture_t fixture;
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(rows); i++) {
+		start(&fixture);
+		fixture.view.updated_ns = rows[i].updated_ns;
+		fixture.view.all_instances = rows[i].instances;
+		CU_ASSERT_EQUAL(carob_shared_admission_applies(
+					fixture.admission,
+					rows[i].has_view ? &fixture.view : NULL,
+					FIXTURE_START + rows[i].later_ms * MS),
+				rows[i].applies);
+		stop(&fixture);
+	}
+}
+
 typedef struct line_counter {
 	carob_log_sink_t sink;
 	uint32_t lines;
@@ -257,6 +348,9 @@
 		{"decisions", test_decisions},
 		{"deferrals in a wave", test_deferrals},
 		{"cached sums", test_cached_sums},
+		{"sheds", test_sheds},
+		{"work time", test_work_time},
+		{"when it applies", test_applies},
 		{"log lines", test_log_lines},
 		{"floor of the lowest priority", test_floor},
 	};
