--- a/tests/flow/shared_admission_test.c
+++ b/tests/flow/shared_admission_test.c
@@ -231,6 +231,48 @@
 	}
 }
 
+/* Between the limit and a tenth more, callers that were turned away go before
+ * those who have just come, as long as they can still be served in time. */
+static void test_order(void)
+{
+	static const struct {
+		bool refused;	   /* before */
+		uint32_t later_ms; /* after the refusal */
+		uint8_t copy;
+		carob_admission_verdict_t verdict;
+	} rows[] = {
+		{false, 0, 0, CAROB_ADMISSION_REFUSE},
+		{true, 5, 0, CAROB_ADMISSION_ACCEPT},
+		{true, 4000, 0, CAROB_ADMISSION_ACCEPT},
+		{true, 6000, 0, CAROB_ADMISSION_REFUSE},
+		{false, 0, 1, CAROB_ADMISSION_ACCEPT},
+		{false, 0, 2, CAROB_ADMISSION_REFUSE},
+	};
+	static fixture_t fixture;
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(rows); i++) {
+		carob_shared_load_t load;
+
+		start(&fixture);
+		fixture.view.expires_ns = FIXTURE_START + 60 * CAROB_NS_PER_S;
+		set_load(&fixture, 600, 40, 0);
+		if (rows[i].refused)
+			CU_ASSERT_EQUAL(decide(&fixture, &load),
+					CAROB_ADMISSION_REFUSE);
+		carob_shared_admission_set_floor(fixture.admission, 0);
+		set_load(&fixture, 600, 19, 0);
+		fixture.query.now_ns += (10 + rows[i].later_ms) * MS;
+		/* Another flow first, so that the own load is up to date. */
+		fixture.query.caller_ip = 2;
+		fixture.query.syn_copy = 0;
+		(void)decide(&fixture, &load);
+		fixture.query.caller_ip = 1;
+		fixture.query.syn_copy = rows[i].copy;
+		CU_ASSERT_EQUAL(decide(&fixture, &load), rows[i].verdict);
+		stop(&fixture);
+	}
+}
+
 /* The former decisions apply before the first view, and once the number of
  * instances has expired. */
 static void test_applies(void)
@@ -350,6 +392,7 @@
 		{"cached sums", test_cached_sums},
 		{"sheds", test_sheds},
 		{"work time", test_work_time},
+		{"order of callers", test_order},
 		{"when it applies", test_applies},
 		{"log lines", test_log_lines},
 		{"floor of the lowest priority", test_floor},
