--- a/src/flow/steering/steering_flow.c
+++ b/src/flow/steering/steering_flow.c
@@ -185,21 +185,25 @@
 			    const carob_flow_t *flow, uint32_t ms)
 {
 	carob_endpoint_t endpoint = {flow->route_ip, flow->route_port};
+	carob_name_id_t service =
+		steering->upstreams->items[flow->upstream].service;
+	uint64_t now = carob_steering_now_ns(steering);
 	const carob_route_t *route = NULL;
 	bool in_time = true; /* also without a target */
 
 	carob_histogram_record(&steering->counters.answer_ms, ms);
 	carob_pace_record_response(&steering->pace,
 				   &steering->upstreams->items[flow->upstream],
-				   endpoint, ms,
-				   carob_steering_now_ns(steering));
+				   endpoint, ms, now);
 	(void)carob_route_table_find(&route, steering->routes, endpoint);
 	if (route && route->target_ms > 0) {
 		in_time = ms <= route->target_ms;
-		carob_admission_record_response(
-			&steering->admission,
-			steering->upstreams->items[flow->upstream].service,
-			in_time, carob_steering_now_ns(steering));
+		carob_admission_record_response(&steering->admission, service,
+						in_time, now);
+		if (steering->shared_admission)
+			carob_shared_admission_record_response(
+				steering->shared_admission, service, ms,
+				route->target_ms);
 	}
 	/* A repeated request was counted when it was repeated. */
 	if (!flow->repeated)
--- a/src/flow/steering/steering_priv.h
+++ b/src/flow/steering/steering_priv.h
@@ -24,6 +24,8 @@
 	carob_admission_t admission;
 	carob_attempt_table_t attempts;
 	carob_pace_t pace;
+	/** NULL: load is not shared. */
+	carob_shared_admission_t *shared_admission;
 	/** Upstream whose flows are to be reset, or CAROB_UPSTREAM_NONE. */
 	carob_upstream_index_t silent_upstream;
 	carob_steering_counters_t counters;
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -264,6 +264,8 @@
 	self->settings.instance = settings.instance;
 	self->settings.zone = settings.zone;
 	self->settings.stop_grace_ms = settings.stop_grace_ms;
+	carob_steering_set_low_priority_floor(self->steering,
+					      settings.low_priority_floor);
 	log_settings(&settings);
 	set_pace(self, &settings);
 	carob_catalog_set_deadlines(self->catalog, settings.contact_ms,
@@ -323,6 +325,7 @@
 		options.load_view = &self->load_view;
 	options.reset_gone = self->settings.share_load ||
 			     self->settings.cold_overage > 0;
+	options.low_priority_floor = self->settings.low_priority_floor;
 	error = carob_steering_new(&self->steering, &options);
 	if (!error)
 		set_pace(self, &self->settings);
--- a/src/flowd/settings.c
+++ b/src/flowd/settings.c
@@ -1,6 +1,7 @@
 #include "settings.h"
 
 #include "carobtrail/errors.h"
+#include "carobtrail/shared_admission.h"
 
 #include <string.h>
 
@@ -29,11 +30,13 @@
 #define PACE_INSTANCES_MAX     1000000
 
 static const char *const keys[] = {
-	"instance",	   "zone",	   "packets",	   "readiness",
-	"metrics",	   "store",	   "first_start",  "contact_ms",
-	"apply_ms",	   "stop_grace_s", "log_level",	   "relay",
-	"relay_upstreams", "link_mbps",	   "cold_overage", "cold_slack",
-	"pace_instances",  "share_load",
+	"instance",	      "zone",		"packets",
+	"readiness",	      "metrics",	"store",
+	"first_start",	      "contact_ms",	"apply_ms",
+	"stop_grace_s",	      "log_level",	"relay",
+	"relay_upstreams",    "link_mbps",	"cold_overage",
+	"cold_slack",	      "pace_instances", "share_load",
+	"low_priority_floor",
 };
 
 static int read_identity(flowd_settings_t *out, const carob_json_node_t *root)
@@ -166,6 +169,10 @@
 					       0);
 	if (!error)
 		error = read_pace(out, root);
+	if (!error)
+		error = carob_json_get_real_or(
+			&out->low_priority_floor, root, "low_priority_floor", 0,
+			1, CAROB_LOW_PRIORITY_FLOOR_DEFAULT);
 	if (!error)
 		error = carob_json_get_bool_or(&out->first_start, root,
 					       "first_start", false);
--- a/src/flowd/settings.h
+++ b/src/flowd/settings.h
@@ -18,16 +18,17 @@
 	carob_addr_t store;
 	carob_addr_t relay; /* HTTP address for instances of the zone that read
 			       from this one; family 0: none do */
-	uint32_t relay_upstreams; /* fewer upstreams need no readers */
-	bool share_load;	  /* see load_sharing.h; needs `relay` */
-	bool first_start;	  /* first start of the whole deployment */
-	uint32_t contact_ms;	  /* see carob_catalog_options_t */
-	uint32_t apply_ms;	  /* see carob_catalog_options_t */
-	double link_mbps;	  /* rate of the own link; 0: not known */
-	uint32_t stop_grace_ms;	  /* time from SIGTERM to SIGKILL */
-	double cold_overage;	  /* see carob_pace_options_t; 0: off */
-	double cold_slack;	  /* see carob_pace_options_t */
-	uint32_t pace_instances;  /* see carob_pace_options_t */
+	uint32_t relay_upstreams;  /* fewer upstreams need no readers */
+	bool share_load;	   /* see load_sharing.h; needs `relay` */
+	bool first_start;	   /* first start of the whole deployment */
+	uint32_t contact_ms;	   /* see carob_catalog_options_t */
+	uint32_t apply_ms;	   /* see carob_catalog_options_t */
+	double link_mbps;	   /* rate of the own link; 0: not known */
+	uint32_t stop_grace_ms;	   /* time from SIGTERM to SIGKILL */
+	double cold_overage;	   /* see carob_pace_options_t; 0: off */
+	double cold_slack;	   /* see carob_pace_options_t */
+	uint32_t pace_instances;   /* see carob_pace_options_t */
+	double low_priority_floor; /* see carob_steering_options_t */
 } flowd_settings_t;
 
 /**
