fabric: logs each packet that it drops

A request that its caller counts as lost could not be traced to the packet that the emulated network had dropped. Event 6001 names relay, addresses, cause and the first 16 bytes, at most 200 times a second for each relay.

--- a/include/carobtrail/log.h
+++ b/include/carobtrail/log.h
@@ -111,7 +111,9 @@
 	X(CAROB_EV_UPSTREAM_SILENCE, 5004, WARN,                               \
 	  "an upstream stopped responding: waiting flows are reset")           \
 	X(CAROB_EV_PROBES_DISTRUSTED, 5010, WARN,                              \
-	  "most probed upstreams are silent: failed probes are ignored")
+	  "most probed upstreams are silent: failed probes are ignored")       \
+	X(CAROB_EV_PACKET_DROPPED, 6001, INFO,                                 \
+	  "the emulated network dropped a packet")
 
 /** An event of the catalogue. */
 typedef enum carob_log_event {
--- a/src/emulator/fabric/udp_relay.c
+++ b/src/emulator/fabric/udp_relay.c
@@ -1,6 +1,7 @@
 #include "udp_relay.h"
 
 #include "carobtrail/errors.h"
+#include "carobtrail/log.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -8,6 +9,12 @@
 #include <utlist.h>
 
 #define CLIENTS_MAX 20000
+/* Maximum number of lines on dropped packets in a second. A relay that drops
+ * everything must not slow the others down. */
+#define DROP_LOGS_PER_S 200
+/* Bytes of a dropped packet that are logged: the CoAP header with the message
+ * id and the token, or the beginning of any other protocol's. */
+#define DROP_LOG_BYTES 16
 
 typedef struct client client_t;
 typedef struct delayed delayed_t;
@@ -44,6 +51,9 @@
 	carob_addr_t targets[FABRIC_TARGETS_MAX];
 	bool disabled[FABRIC_TARGETS_MAX];
 	udp_relay_counters_t counters;
+	uint64_t drop_log_ns;	 /* begin of the second that is counted */
+	uint32_t drop_logs;	 /* lines written in it */
+	uint64_t drops_unlogged; /* since the last line */
 };
 
 static void free_delayed(delayed_t *packet)
@@ -82,6 +92,50 @@
 			carob_kernel_now_ns(kernel) + delay_ns);
 }
 
+static bool may_log_drop(udp_relay_t *relay)
+{
+	uint64_t now = carob_kernel_now_ns(relay->options.kernel);
+
+	if (now - relay->drop_log_ns >= CAROB_NS_PER_S) {
+		relay->drop_log_ns = now;
+		relay->drop_logs = 0;
+	}
+	if (relay->drop_logs == DROP_LOGS_PER_S) {
+		relay->drops_unlogged++;
+		return false;
+	}
+	relay->drop_logs++;
+	return true;
+}
+
+/* Counts and logs a dropped packet; `to` is NULL if it has no target. */
+static void drop_datagram(udp_relay_t *relay, const carob_addr_t *from,
+			  const carob_addr_t *to, carob_str_t data,
+			  const char *cause)
+{
+	char from_text[CAROB_ADDR_TEXT_MAX];
+	char to_text[CAROB_ADDR_TEXT_MAX] = "";
+	char head[2 * DROP_LOG_BYTES + 1] = "";
+
+	relay->counters.dropped++;
+	if (!may_log_drop(relay))
+		return;
+	carob_addr_format(from_text, from);
+	if (to)
+		carob_addr_format(to_text, to);
+	for (size_t i = 0; i < data.len && i < DROP_LOG_BYTES; i++)
+		(void)snprintf(&head[2 * i], 3, "%02x", (uint8_t)data.ptr[i]);
+	CAROB_LOG(CAROB_EV_PACKET_DROPPED,
+		  CAROB_FIELD_STR("relay", relay->options.name),
+		  CAROB_FIELD_CSTR("from", from_text),
+		  CAROB_FIELD_CSTR("to", to_text),
+		  CAROB_FIELD_CSTR("cause", cause),
+		  CAROB_FIELD_U64("bytes", data.len),
+		  CAROB_FIELD_CSTR("head", head),
+		  CAROB_FIELD_U64("unlogged", relay->drops_unlogged));
+	relay->drops_unlogged = 0;
+}
+
 /* Forwards a datagram with the faults between `from` and `to`. These are the
  * addresses of the two ends, not those of the relay's sockets. */
 static void forward_datagram(udp_relay_t *relay, carob_udp_t *udp,
@@ -92,7 +146,11 @@
 
 	fabric_links_decide_delivery(&delivery, relay->options.links, from, to);
 	if (delivery.copies == 0)
-		relay->counters.dropped++;
+		drop_datagram(relay, from, to, data,
+			      fabric_links_is_cut(relay->options.links, from,
+						  to)
+				      ? "cut"
+				      : "chance");
 	for (unsigned int i = 0; i < delivery.copies; i++) {
 		relay->counters.forwarded++;
 		if (delivery.delay_ns[i])
@@ -109,7 +167,8 @@
 	client_t *client = (client_t *)handler;
 
 	if (client->frozen)
-		client->relay->counters.dropped++;
+		drop_datagram(client->relay, from, &client->addr, data,
+			      "frozen");
 	else
 		forward_datagram(client->relay, client->relay->udp, from,
 				 &client->addr, data);
@@ -168,8 +227,11 @@
 
 	if (!client)
 		client = add_client(relay, from);
-	if (!client || !target || client->frozen)
-		relay->counters.dropped++;
+	if (!client)
+		drop_datagram(relay, from, target, data, "too_many_clients");
+	else if (!target || client->frozen)
+		drop_datagram(relay, from, target, data,
+			      target ? "frozen" : "no_target");
 	else
 		forward_datagram(relay, client->udp, from, target, data);
 }
--- a/tests/integration/lossy_network.sh
+++ b/tests/integration/lossy_network.sh
@@ -8,3 +8,5 @@
 testbed_wait_exit callers
 testbed_require_min callers answered 50
 testbed_check_ledgers lossy-network
+# Each lost packet can be found in the fabric's log, with its CoAP header.
+grep -q '"event":6001,.*"cause":"chance".*"head":"[0-9a-f]\{8,32\}"' "$TESTBED_DIR/fabric.log"
