flowd: requests that wait when a loss becomes known are reset at once

A caller's next retransmission may come only after its deadline: the intervals double up to 1.6 s. The waiting flows of upstreams that are known to be gone are therefore reset within 100 ms of the verdict, unless packets are read late. Still behind `reset_gone`.

--- a/include/carobtrail/log.h
+++ b/include/carobtrail/log.h
@@ -110,6 +110,8 @@
 	  "an avoided upstream answers again")                                 \
 	X(CAROB_EV_UPSTREAM_SILENCE, 5004, WARN,                               \
 	  "an upstream stopped responding: waiting flows are reset")           \
+	X(CAROB_EV_UPSTREAM_GONE, 5005, WARN,                                  \
+	  "upstreams are known to be gone: waiting flows are reset")           \
 	X(CAROB_EV_PROBES_DISTRUSTED, 5010, WARN,                              \
 	  "most probed upstreams are silent: failed probes are ignored")       \
 	X(CAROB_EV_PACKET_DROPPED, 6001, INFO,                                 \
--- a/src/flow/steering/steering.c
+++ b/src/flow/steering/steering.c
@@ -302,6 +302,7 @@
 	carob_flow_t *flow;
 
 	*out = (carob_steer_result_t){.reset_seq = packet->ack};
+	steering->reads_late = !carob_steering_is_evidence(steering, packet);
 	if (packet->syn && packet->has_ack) {
 		/* Callers accept no connections, so they send no SYN-ACK. */
 		set_decision(out, steering, CAROB_STEER_FORGED);
--- a/src/flow/steering/steering_priv.h
+++ b/src/flow/steering/steering_priv.h
@@ -19,6 +19,8 @@
 	const carob_link_meter_t *link;	    /* NULL: none */
 	const carob_load_view_t *load_view; /* NULL: load is not shared */
 	bool reset_gone;
+	bool reads_late;	  /* the last packet was no evidence */
+	uint64_t gone_checked_ns; /* time of the last check for gone upstreams */
 	carob_flow_table_t flows;
 	carob_admission_t admission;
 	/** Upstream whose flows are to be reset, or CAROB_UPSTREAM_NONE. */
--- a/src/flow/steering/steering_sweep.c
+++ b/src/flow/steering/steering_sweep.c
@@ -18,11 +18,16 @@
 #define IDLE_MS_DEFAULT 60000
 /* Number of calls of the sweep that cover the whole table. */
 #define SWEEP_PARTS 4
+/* Interval of the checks for gone upstreams. */
+#define GONE_CHECK_NS (100 * CAROB_NS_PER_MS)
 
 typedef struct reset_visitor {
 	carob_flow_visitor_t visitor;
 	carob_steering_t *steering;
 	carob_reset_sender_t *sender;
+	/** Whether the flows of an upstream are reset. */
+	bool (*applies)(const carob_steering_t *steering,
+			carob_upstream_index_t upstream);
 	uint64_t count;
 } reset_visitor_t;
 
@@ -37,8 +42,8 @@
 	};
 	const carob_route_t *route = NULL;
 
-	if (flow->upstream != steering->silent_upstream || !flow->pending ||
-	    flow->phase != CAROB_FLOW_OPEN)
+	if (!flow->pending || flow->phase != CAROB_FLOW_OPEN ||
+	    !reset->applies(steering, flow->upstream))
 		return false;
 	(void)carob_route_table_find(&route, steering->routes, packet.route);
 	if (!route || !route->idempotent)
@@ -49,13 +54,59 @@
 	return true;
 }
 
+static bool is_silent_upstream(const carob_steering_t *steering,
+			       carob_upstream_index_t upstream)
+{
+	return upstream == steering->silent_upstream;
+}
+
+/* Returns whether a request is in progress on an upstream that is gone. */
+static bool has_gone_upstream(const carob_steering_t *steering)
+{
+	const carob_upstream_table_t *table = steering->upstreams;
+
+	for (size_t i = 0; i < table->count; i++)
+		if (table->items[i].used && table->items[i].removed_ns != 0 &&
+		    table->items[i].pending > 0 &&
+		    carob_steering_is_gone(steering, (uint32_t)i))
+			return true;
+	return false;
+}
+
+/* Resets the waiting flows of all upstreams that are gone. Their callers may
+ * retransmit only after their deadline. Not so while packets are read late: an
+ * answer may be waiting among them. */
+static void reset_gone(carob_steering_t *steering, carob_reset_sender_t *sender)
+{
+	uint64_t now = carob_steering_now_ns(steering);
+	reset_visitor_t reset = {.visitor.visit = reset_pending_flow,
+				 .steering = steering,
+				 .sender = sender,
+				 .applies = carob_steering_is_gone};
+
+	if (!steering->reset_gone || steering->reads_late ||
+	    now - steering->gone_checked_ns < GONE_CHECK_NS)
+		return;
+	steering->gone_checked_ns = now;
+	if (!has_gone_upstream(steering))
+		return;
+	carob_flow_table_sweep(&steering->flows, steering->flows.cap,
+			       &reset.visitor);
+	steering->counters.reasons[CAROB_STEER_UPSTREAM_GONE] += reset.count;
+	if (reset.count > 0)
+		CAROB_LOG(CAROB_EV_UPSTREAM_GONE,
+			  CAROB_FIELD_U64("flows_reset", reset.count));
+}
+
 void carob_steering_reset_silent(carob_steering_t *steering,
 				 carob_reset_sender_t *sender)
 {
 	reset_visitor_t reset = {.visitor.visit = reset_pending_flow,
 				 .steering = steering,
-				 .sender = sender};
+				 .sender = sender,
+				 .applies = is_silent_upstream};
 
+	reset_gone(steering, sender);
 	if (steering->silent_upstream == CAROB_UPSTREAM_NONE)
 		return;
 	carob_flow_table_sweep(&steering->flows, steering->flows.cap,
--- a/tests/flow/zone_lost_test.c
+++ b/tests/flow/zone_lost_test.c
@@ -382,6 +382,37 @@
 	fixture_dispose(&fixture);
 }
 
+/* Requests that wait when the loss becomes known are reset without waiting for
+ * another retransmission, of which the next may come after the deadline. */
+static void test_waiting_requests(void)
+{
+	static const struct {
+		bool idempotent;
+		uint32_t age_ms; /* of the packets that are read meanwhile */
+		uint32_t resets;
+	} cases[] = {{true, 0, 4}, {true, 60, 0}, {false, 0, 0}};
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(cases); i++) {
+		carob_flow_packet_t other =
+			fixture_data(PORT - 2, OTHER_TAG, 0, 10, 5000);
+		fixture_t fixture;
+
+		fixture_init(&fixture, cases[i].idempotent, true);
+		open_flows(&fixture);
+		send_unanswered(&fixture, 3, false);
+		(void)steer(&fixture, request(4, 1));
+		advance(&fixture, 100);
+		remove_upstreams(&fixture, 6, true);
+		carob_manual_clock_advance(&fixture.clock, 100 * MS);
+		other.age_ms = cases[i].age_ms;
+		(void)steer(&fixture, other);
+		CU_ASSERT_EQUAL(fixture.resets, cases[i].resets);
+		CU_ASSERT_EQUAL(fixture.upstreams.items[0].pending,
+				cases[i].resets ? 0 : 1);
+		fixture_dispose(&fixture);
+	}
+}
+
 int main(void)
 {
 	static const test_case_t cases[] = {
@@ -391,6 +422,8 @@
 		{"signs of life in packets", test_signs_of_life_in_packets},
 		{"a zone is lost", test_lost_zone},
 		{"an upstream is lost", test_lost_upstream},
+		{"requests that wait when the loss becomes known",
+		 test_waiting_requests},
 	};
 
 	carob_log_configure("test", NULL, CAROB_LOG_ERROR, NULL);
