--- a/include/carobtrail/log.h
+++ b/include/carobtrail/log.h
@@ -125,7 +125,7 @@
 	X(CAROB_EV_UPSTREAM_PACED, 5020, INFO,                                 \
 	  "slow start: new flows to an upstream are paced")                    \
 	X(CAROB_EV_UPSTREAM_NOT_PACED, 5021, INFO,                             \
-	  "slow start of an upstream has ended") \
+	  "slow start of an upstream has ended")                               \
 	X(CAROB_EV_PACKET_DROPPED, 6001, INFO,                                 \
 	  "the emulated network dropped a packet")
 
--- a/src/flow/decisions/failure_detector.c
+++ b/src/flow/decisions/failure_detector.c
@@ -63,8 +63,9 @@
 	return group == CAROB_INDEX_END ? NULL : &table->groups[group];
 }
 
-/* Counts an upstream once, unless SYNs to several alternate. With an answer of
- * the zone that is younger than `answer_age_ns` it counts none. */
+/* Counts a SYN that the zone has not answered, unless the zone has answered
+ * another one within `answer_age_ns`. SYNs in a row to one upstream count once:
+ * it may be the only one that does not answer. */
 static void count_unanswered(const carob_upstream_table_t *table,
 			     carob_upstream_index_t index,
 			     uint64_t answer_age_ns, uint64_t now_ns)
