--- a/src/flow/decisions/shared_placement.c
+++ b/src/flow/decisions/shared_placement.c
@@ -46,12 +46,9 @@
 /* Factor of the cost from which on an upstream is one that may recover: a
  * quarter of its responses more than in its zone are late. */
 #define LATE_FACTOR 1.75
-/* One in so many flows is placed without regard to late responses, so that a
- * recovery is noticed. */
+/* One in so many flows is placed without regard to late responses or to a
+ * silent zone, so that a recovery is noticed. */
 #define RECOVERY_SHARE 8
-/* The same for a zone that is silent. Each such flow waits for its next SYN,
- * 200 ms, which is late or nearly so. */
-#define SILENT_RECOVERY_SHARE 32
 /* Unanswered SYNs to several upstreams that make a zone silent if none answers.
  * An instance with few flows may see two at hanging upstreams of its own zone
  * between two answers; leaving another zone costs nothing. */
@@ -102,11 +99,9 @@
 	return (double)(hash_of(query, salt) >> 11) * 0x1p-53;
 }
 
-/* Returns whether the flow is one of `share` that are placed where a recovery
- * would be noticed. */
-static bool seeks_recovery(const shared_query_t *query, uint64_t share)
+static bool seeks_recovery(const shared_query_t *query)
 {
-	return hash_of(query, SALT_RECOVERY) % share == 0;
+	return hash_of(query, SALT_RECOVERY) % RECOVERY_SHARE == 0;
 }
 
 static bool is_home(const shared_query_t *query,
@@ -378,8 +373,7 @@
 						: SILENT_SYNS;
 
 	return group->count > 0 && group->load.rank <= rank &&
-	       (group->unanswered < silent ||
-		seeks_recovery(query, SILENT_RECOVERY_SHARE));
+	       (group->unanswered < silent || seeks_recovery(query));
 }
 
 /* Returns how much of the flows a group gets. While the own zone is open, it
@@ -492,7 +486,7 @@
 		found++;
 		if (is_better(&candidate, &best))
 			best = candidate;
-		if (candidate.is_late && seeks_recovery(query, RECOVERY_SHARE))
+		if (candidate.is_late && seeks_recovery(query))
 			break;
 	}
 	if (found > 0)
