--- a/src/flow/decisions/placement.c
+++ b/src/flow/decisions/placement.c
@@ -18,6 +18,9 @@
 	CANDIDATE_UNUSABLE,
 } candidate_class_t;
 
+_Static_assert(CANDIDATE_LAPSED == CAROB_PLACEMENT_STEADY_RANK,
+	       "classes that change with each flow come after the steady ones");
+
 typedef struct candidate {
 	candidate_class_t class;
 	double cost;
--- a/src/flow/decisions/placement_priv.h
+++ b/src/flow/decisions/placement_priv.h
@@ -11,6 +11,12 @@
 /** Load of an idle flow, in requests in progress. */
 #define CAROB_PLACEMENT_IDLE_WEIGHT 0.1
 
+/**
+ * Ranks up to this one last for seconds at least, so that the rank of a zone
+ * may be measured now and then. Higher ones may change with each flow.
+ */
+#define CAROB_PLACEMENT_STEADY_RANK 1
+
 /** Rank of an upstream that cannot be chosen; higher than all others. */
 #define CAROB_PLACEMENT_UNUSABLE 100
 
--- a/src/flow/decisions/shared_placement.c
+++ b/src/flow/decisions/shared_placement.c
@@ -15,10 +15,11 @@
 #define LASTING_PART 0.3
 /* Positions that are tried by hash to find as many candidates. */
 #define PROBES 8
-/* Loads of zones are measured this often, each time on so many members of a
- * group in turn: a choice must not cost more the more upstreams there are. */
-#define MEASURE_NS	(20 * CAROB_NS_PER_MS)
-#define MEASURE_MEMBERS 64
+/* The load of a zone is measured this often, one zone at a choice, and each
+ * time on so many members of its group in turn: a choice must not cost more the
+ * more upstreams there are. */
+#define MEASURE_NS	(50 * CAROB_NS_PER_MS)
+#define MEASURE_MEMBERS 12
 /* Time constants of the load of a zone. It falls more slowly than it rises, so
  * that a zone whose reports are missing does not look idle at once. */
 #define RISE_S 0.3
@@ -42,18 +43,14 @@
 /* How much more an upstream costs whose responses are all late or missing while
  * those of its zone are not. */
 #define LATE_COST 3.0
-/* Share of late responses above that of the zone from which on an upstream is
- * one that may recover. */
-#define LATE_MIN 0.25
+/* Factor of the cost from which on an upstream is one that may recover: a
+ * quarter of its responses more than in its zone are late. */
+#define LATE_FACTOR 1.75
 /* One in so many flows is placed without regard to late responses or to a
  * silent zone, so that a recovery is noticed. */
 #define RECOVERY_SHARE 8
 /* Upstreams with unanswered SYNs that make a zone silent if none answers. */
 #define SILENT_MEMBERS 2
-/* Ranks up to this one last for seconds at least; worse ones may change from
- * one flow to the next. */
-#define STEADY_RANK 1
-
 /* Salts of the independent choices for one flow. */
 enum salt {
 	SALT_ZONE = 1,
@@ -154,23 +151,37 @@
 	double others_load;
 	double own_pending;
 	double own_idle;
-	uint32_t count; /* members that can be chosen */
+	uint32_t count; /* members whose rank is good */
 	int rank;
 } sums_t;
 
+/* Returns how much more an upstream costs because it is later than the others
+ * of its group. */
+static double late_factor(const shared_query_t *query,
+			  const carob_upstream_group_t *group,
+			  const carob_upstream_t *upstream)
+{
+	return 1 +
+	       LATE_COST * fmax(0, late_of(query, upstream) - group->load.late);
+}
+
+/* Adds a member. What waits at one that is late or avoided does not make new
+ * requests wait, since they go to others. */
 static void add_member(sums_t *sums, const shared_query_t *query,
+		       const carob_upstream_group_t *group,
 		       carob_upstream_index_t index)
 {
 	const carob_upstream_t *upstream = &query->table->items[index];
 	int rank = carob_placement_rank(upstream, index, query->flow);
+	double weight = 1 / late_factor(query, group, upstream);
 
 	if (rank < sums->rank)
 		sums->rank = rank;
-	if (rank == CAROB_PLACEMENT_UNUSABLE)
+	if (rank > CAROB_PLACEMENT_STEADY_RANK)
 		return;
 	sums->count++;
-	sums->slots += carob_placement_slots(upstream, query->flow);
-	sums->load += load_of(query, upstream);
+	sums->slots += weight * carob_placement_slots(upstream, query->flow);
+	sums->load += weight * load_of(query, upstream);
 	sums->late += late_of(query, upstream);
 	sums->others_load += upstream->others_load;
 	sums->own_pending += upstream->pending;
@@ -189,7 +200,7 @@
 	for (uint32_t i = 0; i < count; i++, at++) {
 		if (at >= group->count)
 			at = 0;
-		add_member(sums, query, group->members[at]);
+		add_member(sums, query, group, group->members[at]);
 	}
 	group->load.next_member = at;
 	sums->slots *= scale;
@@ -297,36 +308,46 @@
 	return NULL;
 }
 
-/* Measures the groups of the service if the last time was long enough ago. */
+/* Measures a group if the last time was long enough ago. */
+static void measure_if_due(const shared_query_t *query,
+			   carob_upstream_group_t *group,
+			   const carob_upstream_group_t *home)
+{
+	uint64_t passed_ns = query->flow->now_ns - group->load.measured_ns;
+	double step_s = fmin((double)passed_ns / CAROB_NS_PER_S, STEP_S_MAX);
+
+	if (group->load.measured_ns != 0 && passed_ns < MEASURE_NS)
+		return;
+	measure_group(group, query, home, step_s);
+	if (home && group != home) {
+		adapt_spill(&group->load, &home->load, step_s);
+		limit_spill(query);
+	}
+}
+
+/* Measures the group of the service that was measured the longest ago, and all
+ * that never were. */
 static void measure_groups(const shared_query_t *query)
 {
 	carob_placement_query_t flow = *query->flow;
 	shared_query_t any = *query;
-	const carob_upstream_group_t *first = carob_upstream_table_first_group(
-		query->table, query->flow->service);
 	carob_upstream_group_t *home = home_group(query);
-	uint64_t passed_ns;
-	double step_s;
+	carob_upstream_group_t *oldest = home;
 
-	if (!first)
-		return;
-	passed_ns = query->flow->now_ns - first->load.measured_ns;
-	if (first->load.measured_ns != 0 && passed_ns < MEASURE_NS)
-		return;
 	flow.except = CAROB_UPSTREAM_NONE;
 	any.flow = &flow;
-	step_s = fmin((double)passed_ns / CAROB_NS_PER_S, STEP_S_MAX);
-	if (home)
-		measure_group(home, &any, home, step_s);
+	if (home && home->load.measured_ns == 0)
+		measure_if_due(&any, home, home);
 	CAROB_UPSTREAM_GROUPS_OF(group, query->table, flow.service)
 	{
-		if (group == home)
-			continue;
-		measure_group(group, &any, home, step_s);
-		if (home)
-			adapt_spill(&group->load, &home->load, step_s);
+		if (group->load.measured_ns == 0)
+			measure_if_due(&any, group, home);
+		if (!oldest ||
+		    group->load.measured_ns < oldest->load.measured_ns)
+			oldest = group;
 	}
-	limit_spill(query);
+	if (oldest)
+		measure_if_due(&any, oldest, home);
 }
 
 /* The choice of a zone. */
@@ -396,18 +417,17 @@
 				  carob_upstream_index_t index)
 {
 	const carob_upstream_t *upstream = &query->table->items[index];
-	double late = fmax(0, late_of(query, upstream) - group->load.late);
+	double factor = late_factor(query, group, upstream);
 	candidate_t candidate = {
 		.index = index,
 		.rank = carob_placement_rank(upstream, index, query->flow),
-		.is_late = late >= LATE_MIN,
+		.is_late = factor >= LATE_FACTOR,
 	};
 
 	/* The new request counts, so that of two idle upstreams the late one
 	 * costs more. */
 	candidate.cost = (1 + expected_load_of(query, group, upstream)) /
-			 carob_placement_slots(upstream, query->flow) *
-			 (1 + LATE_COST * late);
+			 carob_placement_slots(upstream, query->flow) * factor;
 	return candidate;
 }
 
@@ -507,7 +527,8 @@
 
 	measure_groups(&query);
 	rank = best_rank(&query);
-	group = rank <= STEADY_RANK ? choose_group(&query, rank) : NULL;
+	group = rank <= CAROB_PLACEMENT_STEADY_RANK ? choose_group(&query, rank)
+						    : NULL;
 	if (!group)
 		return choose_of_all(&query);
 	chosen = choose_member(&query, group, rank);
