--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -107,9 +107,9 @@
 	uint32_t count;
 	uint32_t cap;
 	uint64_t answered_ns; /* latest `answered_ns` of its members */
-	/** Members with an unanswered SYN since then; failure_detector.h. */
+	/** SYNs that several members have left unanswered since then. */
 	uint32_t unanswered;
-	carob_upstream_index_t last_unanswered; /* the last one counted */
+	carob_upstream_index_t last_unanswered; /* of the last one */
 	carob_group_load_t load;
 } carob_upstream_group_t;
 
--- a/src/flow/decisions/failure_detector.c
+++ b/src/flow/decisions/failure_detector.c
@@ -43,7 +43,8 @@
 	return group == CAROB_INDEX_END ? NULL : &table->groups[group];
 }
 
-/* Counts an upstream once, unless SYNs to several alternate. */
+/* Counts a SYN that the zone has not answered. SYNs in a row to one upstream
+ * count once: it may be the only one that does not answer. */
 static void count_unanswered(const carob_upstream_table_t *table,
 			     carob_upstream_index_t index, uint64_t now_ns)
 {
--- a/src/flow/decisions/shared_placement.c
+++ b/src/flow/decisions/shared_placement.c
@@ -49,8 +49,11 @@
 /* One in so many flows is placed without regard to late responses or to a
  * silent zone, so that a recovery is noticed. */
 #define RECOVERY_SHARE 8
-/* Upstreams with unanswered SYNs that make a zone silent if none answers. */
-#define SILENT_MEMBERS 2
+/* Unanswered SYNs to several upstreams that make a zone silent if none answers.
+ * An instance with few flows may see two at hanging upstreams of its own zone
+ * between two answers; leaving another zone costs nothing. */
+#define SILENT_SYNS	 2
+#define SILENT_SYNS_HOME 4
 /* Salts of the independent choices for one flow. */
 enum salt {
 	SALT_ZONE = 1,
@@ -366,8 +369,11 @@
 static bool is_open(const shared_query_t *query,
 		    const carob_upstream_group_t *group, int rank)
 {
+	uint32_t silent = is_home(query, group) ? SILENT_SYNS_HOME
+						: SILENT_SYNS;
+
 	return group->count > 0 && group->load.rank <= rank &&
-	       (group->unanswered < SILENT_MEMBERS || seeks_recovery(query));
+	       (group->unanswered < silent || seeks_recovery(query));
 }
 
 /* Returns how much of the flows a group gets. While the own zone is open, it
