--- a/tests/flow/load_sim.c
+++ b/tests/flow/load_sim.c
@@ -418,7 +418,8 @@
 	size_t slot = (sim->reports - delay) % HISTORY;
 	float *sums;
 
-	if (!sim->options->share_load || sim->reports < delay)
+	if (!sim->options->share_load || sim->reports < delay ||
+	    fault_of(sim, LOAD_SIM_NO_REPORTS))
 		return;
 	sums = checked(calloc((size_t)LOAD_SIM_ZONES * count, sizeof(*sums)));
 	for (uint32_t i = 0; i < sim->options->instances; i++)
--- a/tests/flow/load_sim.h
+++ b/tests/flow/load_sim.h
@@ -35,6 +35,7 @@
 	LOAD_SIM_SHED,	 /* upstreams shed each request at once */
 	LOAD_SIM_KILLED, /* all instances are away */
 	LOAD_SIM_CUT,	 /* zone `zone` is cut off from the others */
+	LOAD_SIM_NO_REPORTS, /* views are not renewed */
 } load_sim_fault_kind_t;
 
 /** A fault, or a change of the demand, for some time. */
--- a/tests/flow/shared_placement_test.c
+++ b/tests/flow/shared_placement_test.c
@@ -441,6 +441,34 @@
 	 0.5,
 	 UINT32_MAX,
 	 2},
+	/* Views expire 2 s later; the number of instances stays known. No
+	 * target is stated for a heavy day without views: it must not be worse
+	 * than before by more than chance. */
+	{"alpenbote, no reports in a crowd of one zone",
+	 {ALPENBOTE, .faults = {{LOAD_SIM_SURGE, 5, 15, {7, 1, 1}},
+				{LOAD_SIM_NO_REPORTS, 2, 20}}},
+	 0.92,
+	 0.03,
+	 0.6,
+	 UINT32_MAX,
+	 2},
+	{"karoo, no reports on a heavy day",
+	 {KAROO, .faults = {{LOAD_SIM_SURGE, 5, 20, {4.5, 0.5, 2}},
+			    {LOAD_SIM_SLOW, 5, 20, {4}, 4},
+			    {LOAD_SIM_NO_REPORTS, 2, 20}}},
+	 0,
+	 -0.005,
+	 0.6,
+	 UINT32_MAX,
+	 2},
+	/* All upstreams of the first zone are silent. */
+	{"alpenbote, a zone's upstreams lost",
+	 {ALPENBOTE, .faults = {{LOAD_SIM_HANG, 8, 20, {0}, 3}}},
+	 0.92,
+	 0,
+	 0.5,
+	 2000,
+	 2},
 };
 
 #define RUNS 3
