failure detector: one overdue request renews the evidence against a zone

After 3 s without a new overdue request, three upstreams of a lost zone had to be found silent again by each instance. In a model with 19 instances, of 280 requests to lost upstreams that were sent later than 13.5 s 112 waited for 0.3 s or more.

--- a/src/flow/decisions/failure_detector.c
+++ b/src/flow/decisions/failure_detector.c
@@ -35,9 +35,9 @@
  * s after they sent it; a request that merely waits in a queue reaches the
  * first of the two. */
 #define OVERDUE_NS_MIN (500 * CAROB_NS_PER_MS)
-/* For how long an overdue request is evidence that an upstream is gone. A cut
- * link may heal meanwhile; FLOW in docs/design/load-and-pace.md allows resets
- * until 4 s after a disruption. */
+/* For how long the latest overdue request is evidence that an upstream or a
+ * zone is gone. A cut link may heal meanwhile; FLOW in
+ * docs/design/load-and-pace.md allows resets until 4 s after a disruption. */
 #define OVERDUE_AGE_NS_MAX (3 * CAROB_NS_PER_S)
 /* An upstream that dies leaves requests unanswered until its entry expires. An
  * overdue request of a longer time before the removal has another cause. */
@@ -146,13 +146,17 @@
 	       upstream->answered_ns < upstream->removed_ns;
 }
 
-/* Returns whether there is recent evidence against a removed upstream. */
-static bool is_overdue(const carob_upstream_t *upstream, uint64_t now_ns)
+/* Returns whether there is evidence against a removed upstream. */
+static bool is_overdue(const carob_upstream_t *upstream)
 {
 	return is_removed(upstream) && upstream->overdue_ns != 0 &&
 	       upstream->overdue_ns + OVERDUE_BEFORE_REMOVAL_NS >=
-		       upstream->removed_ns &&
-	       now_ns - upstream->overdue_ns < OVERDUE_AGE_NS_MAX;
+		       upstream->removed_ns;
+}
+
+static bool is_recent(uint64_t overdue_ns, uint64_t now_ns)
+{
+	return now_ns - overdue_ns < OVERDUE_AGE_NS_MAX;
 }
 
 /* Returns whether several upstreams of the zone fell silent together with this
@@ -160,6 +164,7 @@
 static bool is_zone_silent(const carob_upstream_table_t *table,
 			   const carob_upstream_t *upstream, uint64_t now_ns)
 {
+	uint64_t latest_ns = 0;
 	uint32_t silent = 0;
 
 	for (size_t i = 0; i < table->count; i++) {
@@ -169,10 +174,13 @@
 			continue;
 		if (other->answered_ns >= upstream->removed_ns)
 			return false;
-		if (is_overdue(other, now_ns))
-			silent++;
+		if (!is_overdue(other))
+			continue;
+		silent++;
+		if (other->overdue_ns > latest_ns)
+			latest_ns = other->overdue_ns;
 	}
-	return silent >= SILENT_IN_ZONE_MIN;
+	return silent >= SILENT_IN_ZONE_MIN && is_recent(latest_ns, now_ns);
 }
 
 bool carob_failure_detector_is_gone(const carob_upstream_table_t *table,
@@ -184,7 +192,8 @@
 	if (!is_removed(upstream) ||
 	    now_ns - table->answered_ns >= OTHERS_ANSWER_AGE_NS_MAX)
 		return false;
-	return (is_overdue(upstream, now_ns) && upstream->stalled) ||
+	return (is_overdue(upstream) && upstream->stalled &&
+		is_recent(upstream->overdue_ns, now_ns)) ||
 	       is_zone_silent(table, upstream, now_ns);
 }
 
--- a/tests/flow/zone_lost_test.c
+++ b/tests/flow/zone_lost_test.c
@@ -363,6 +363,28 @@
 	}
 }
 
+/* When the evidence has become old, one overdue request to any upstream of the
+ * zone renews it: nothing of the zone has answered in between. */
+static void test_renewed_evidence(void)
+{
+	fixture_t fixture;
+
+	fixture_init(&fixture, true, true);
+	open_flows(&fixture);
+	send_unanswered(&fixture, 3, false);
+	remove_upstreams(&fixture, 6, true);
+	advance(&fixture, 3000);
+	CU_ASSERT_EQUAL(steer(&fixture, request(4, 1)), CAROB_STEER_KNOWN_FLOW);
+	advance(&fixture, 200);
+	CU_ASSERT_EQUAL(steer(&fixture, request(4, 1)), CAROB_STEER_KNOWN_FLOW);
+	CU_ASSERT_EQUAL(steer(&fixture, request(5, 1)), CAROB_STEER_KNOWN_FLOW);
+	advance(&fixture, 400);
+	(void)steer(&fixture, request(4, 1));
+	CU_ASSERT_EQUAL(steer(&fixture, request(6, 1)),
+			CAROB_STEER_UPSTREAM_GONE);
+	fixture_dispose(&fixture);
+}
+
 /* One upstream is lost: a request that stalled before the removal suffices. The
  * other flows with requests in progress are reset with the next retransmission
  * of one of them. */
@@ -422,6 +444,7 @@
 		{"signs of life in packets", test_signs_of_life_in_packets},
 		{"a zone is lost", test_lost_zone},
 		{"an upstream is lost", test_lost_upstream},
+		{"old evidence is renewed", test_renewed_evidence},
 		{"requests that wait when the loss becomes known",
 		 test_waiting_requests},
 	};
