--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -16,7 +16,8 @@
 
 /** Global options of carobctl and its connection to the platform. */
 typedef struct cli {
-	bool json;	      /* print the output as one JSON object */
+	bool json;  /* print the output as one JSON object */
+	int status; /* exit status, unless 0: the result code decides */
 	const char *platform; /* address of the platform, or NULL */
 	carob_kernel_t *kernel;
 	carob_loop_t *loop;
@@ -41,6 +42,7 @@
 int cli_diff(cli_t *cli, int argc, const char **argv);
 int cli_show(cli_t *cli, int argc, const char **argv);
 int cli_explain(cli_t *cli, int argc, const char **argv);
+int cli_check(cli_t *cli, int argc, const char **argv);
 
 /**
  * Parses the options of a command.
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -15,6 +15,8 @@
 	{"show",
 	 "show the generation in force and the status of every instance",
 	 cli_show},
+	{"check", "check a configuration of carob-flowd before it is sent",
+	 cli_check},
 	{"explain", "explain to which upstream flows go, and why", cli_explain},
 };
 
@@ -28,7 +30,8 @@
 		"\n\"carobctl COMMAND --help\" describes a command. With "
 		"--json, the output is one\nJSON object. The exit status is "
 		"0, or a result code without its sign; see\n"
-		"docs/result-codes.md.\n");
+		"docs/result-codes.md. That of \"check\" is described by "
+		"its help.\n");
 }
 
 static const cli_command_t *find_command(const char *name)
@@ -96,5 +99,7 @@
 	if (result != 0)
 		print_error(&cli, result);
 	cli_disconnect(&cli);
+	if (cli.status)
+		return cli.status;
 	return result == 0 ? 0 : -result;
 }
