--- a/src/cli/check/check.h
+++ b/src/cli/check/check.h
@@ -35,7 +35,6 @@
 	unsigned int rank; /* findings of a lower rank are printed first */
 	size_t index;	   /* order in which the findings were made */
 	char *path;   /* printable, as in "routes[3].hostname"; "": document */
-	char *where;  /* path that the line is looked up by */
 	char *reason; /* printable ASCII */
 } check_finding_t;
 
@@ -46,9 +45,10 @@
 	size_t cap;
 	size_t omitted; /* findings above CHECK_FINDINGS_MAX */
 	size_t counts[CHECK_SEVERITIES];
-	check_document_t document; /* of the findings that are added next */
-	unsigned int rank;	   /* likewise */
-	bool no_memory;		   /* a finding could not be kept */
+	check_document_t document;  /* of the findings that are added next */
+	unsigned int rank;	    /* likewise */
+	const struct json_t *lines; /* lines of its values by path, borrowed */
+	bool no_memory;		    /* a finding could not be kept */
 } check_report_t;
 
 /** What is checked, and what it is compared with. */
--- a/src/cli/check/fields.c
+++ b/src/cli/check/fields.c
@@ -1,66 +1,65 @@
 #include "check_priv.h"
 
-#include <stdio.h>
 #include <string.h>
 
-/* The absence of a member that carob-flowd or this check uses is an error, and
- * of one that only other parts of the platform use a warning. */
-const check_field_t check_config_fields[] = {
-	{"version", CHECK_DECODED, CHECK_NOTE},
-	{"routes", CHECK_DECODED, CHECK_NOTE},
-	{"services", CHECK_LIST, CHECK_ERROR},
-	{"limits", CHECK_OBJECT, CHECK_ERROR},
-	{0},
-};
+/* What a member has to be. */
+typedef enum type {
+	TYPE_DECODED, /* the decoder of the platform checks it */
+	TYPE_LIST,
+	TYPE_OBJECT,
+	TYPE_TEXT,
+	TYPE_BOOL,
+	TYPE_COUNT,
+	TYPE_NUMBER,
+	TYPE_ROUTE_TYPE,
+} type_t;
 
-const check_field_t check_route_fields[] = {
-	{"name", CHECK_TEXT, CHECK_ERROR},
-	{"hostname", CHECK_DECODED, CHECK_NOTE},
-	{"prefix", CHECK_DECODED, CHECK_NOTE},
-	{"route_type", CHECK_ROUTE_TYPE, CHECK_ERROR},
-	{"timeout_ms", CHECK_COUNT, CHECK_ERROR},
-	{"target_latency_ms", CHECK_COUNT, CHECK_ERROR},
-	{"priority", CHECK_COUNT, CHECK_ERROR},
-	{"traffic_split", CHECK_DECODED, CHECK_NOTE},
-	{"service", CHECK_DECODED, CHECK_NOTE},
-	{"max_attempts", CHECK_COUNT, CHECK_WARNING},
-	{0},
-};
-
-const check_field_t check_share_fields[] = {
-	{"service", CHECK_DECODED, CHECK_NOTE},
-	{"weight", CHECK_DECODED, CHECK_NOTE},
-	{0},
-};
-
-/* Without the two members for cold upstreams, nothing is stated of them. */
-const check_field_t check_service_fields[] = {
-	{"name", CHECK_TEXT, CHECK_ERROR},
-	{"health_path", CHECK_TEXT, CHECK_WARNING},
-	{"max_conns", CHECK_COUNT, CHECK_WARNING},
-	{"protocol", CHECK_TEXT, CHECK_WARNING},
-	{"tls", CHECK_BOOL, CHECK_WARNING},
-	{"cold_start_s", CHECK_NUMBER, CHECK_NOTE},
-	{"cold_per_s", CHECK_NUMBER, CHECK_NOTE},
-	{0},
-};
-
-const check_field_t check_limit_fields[] = {
-	{"max_header_bytes", CHECK_COUNT, CHECK_WARNING},
-	{"max_body_bytes", CHECK_COUNT, CHECK_WARNING},
-	{"header_timeout_ms", CHECK_COUNT, CHECK_WARNING},
-	{"idle_timeout_ms", CHECK_COUNT, CHECK_ERROR},
-	{0},
+static const char *const expected[] = {
+	[TYPE_LIST] = "a list",
+	[TYPE_OBJECT] = "an object",
+	[TYPE_TEXT] = "a text that is not empty",
+	[TYPE_BOOL] = "true or false",
+	[TYPE_COUNT] = "a whole number from 0 to 4294967295",
+	[TYPE_NUMBER] = "a number that is not negative",
+	[TYPE_ROUTE_TYPE] = "\"safe\", \"download\" or \"unsafe\"",
 };
 
-static const char *const expected[] = {
-	[CHECK_LIST] = "a list",
-	[CHECK_OBJECT] = "an object",
-	[CHECK_TEXT] = "a text that is not empty",
-	[CHECK_BOOL] = "true or false",
-	[CHECK_COUNT] = "a whole number from 0 to 4294967295",
-	[CHECK_NUMBER] = "a number that is not negative",
-	[CHECK_ROUTE_TYPE] = "\"safe\", \"download\" or \"unsafe\"",
+/* The absence of a member that carob-flowd or this check uses is an error, and
+ * of one that only other parts of the platform use a warning. Without the
+ * members for cold upstreams, nothing is stated of these. */
+static const struct {
+	check_kind_t kind;
+	const char *name;
+	type_t type;
+	check_severity_t missing;
+} fields[] = {
+	{CHECK_ROOT, "version", TYPE_DECODED, CHECK_NOTE},
+	{CHECK_ROOT, "routes", TYPE_DECODED, CHECK_NOTE},
+	{CHECK_ROOT, "services", TYPE_LIST, CHECK_ERROR},
+	{CHECK_ROOT, "limits", TYPE_OBJECT, CHECK_ERROR},
+	{CHECK_ROUTE, "name", TYPE_TEXT, CHECK_ERROR},
+	{CHECK_ROUTE, "hostname", TYPE_DECODED, CHECK_NOTE},
+	{CHECK_ROUTE, "prefix", TYPE_DECODED, CHECK_NOTE},
+	{CHECK_ROUTE, "route_type", TYPE_ROUTE_TYPE, CHECK_ERROR},
+	{CHECK_ROUTE, "timeout_ms", TYPE_COUNT, CHECK_ERROR},
+	{CHECK_ROUTE, "target_latency_ms", TYPE_COUNT, CHECK_ERROR},
+	{CHECK_ROUTE, "priority", TYPE_COUNT, CHECK_ERROR},
+	{CHECK_ROUTE, "traffic_split", TYPE_DECODED, CHECK_NOTE},
+	{CHECK_ROUTE, "service", TYPE_DECODED, CHECK_NOTE},
+	{CHECK_ROUTE, "max_attempts", TYPE_COUNT, CHECK_WARNING},
+	{CHECK_SHARE, "service", TYPE_DECODED, CHECK_NOTE},
+	{CHECK_SHARE, "weight", TYPE_DECODED, CHECK_NOTE},
+	{CHECK_SERVICE, "name", TYPE_TEXT, CHECK_ERROR},
+	{CHECK_SERVICE, "health_path", TYPE_TEXT, CHECK_WARNING},
+	{CHECK_SERVICE, "max_conns", TYPE_COUNT, CHECK_WARNING},
+	{CHECK_SERVICE, "protocol", TYPE_TEXT, CHECK_WARNING},
+	{CHECK_SERVICE, "tls", TYPE_BOOL, CHECK_WARNING},
+	{CHECK_SERVICE, "cold_start_s", TYPE_NUMBER, CHECK_NOTE},
+	{CHECK_SERVICE, "cold_per_s", TYPE_NUMBER, CHECK_NOTE},
+	{CHECK_LIMITS, "max_header_bytes", TYPE_COUNT, CHECK_WARNING},
+	{CHECK_LIMITS, "max_body_bytes", TYPE_COUNT, CHECK_WARNING},
+	{CHECK_LIMITS, "header_timeout_ms", TYPE_COUNT, CHECK_WARNING},
+	{CHECK_LIMITS, "idle_timeout_ms", TYPE_COUNT, CHECK_ERROR},
 };
 
 static bool is_route_type(const json_t *value)
@@ -72,72 +71,60 @@
 		strcmp(text, "unsafe") == 0);
 }
 
-static bool is_of_kind(const json_t *value, check_kind_t kind)
+static bool is_of_type(const json_t *value, type_t type)
 {
-	switch (kind) {
-	case CHECK_DECODED:
+	switch (type) {
+	case TYPE_DECODED:
 		return true;
-	case CHECK_LIST:
+	case TYPE_LIST:
 		return json_is_array(value);
-	case CHECK_OBJECT:
+	case TYPE_OBJECT:
 		return json_is_object(value);
-	case CHECK_TEXT:
+	case TYPE_TEXT:
 		return json_string_length(value) > 0;
-	case CHECK_BOOL:
+	case TYPE_BOOL:
 		return json_is_boolean(value);
-	case CHECK_COUNT:
+	case TYPE_COUNT:
 		return json_is_integer(value) &&
 		       json_integer_value(value) >= 0 &&
 		       json_integer_value(value) <= UINT32_MAX;
-	case CHECK_NUMBER:
+	case TYPE_NUMBER:
 		return json_is_number(value) && json_number_value(value) >= 0;
-	case CHECK_ROUTE_TYPE:
+	case TYPE_ROUTE_TYPE:
 		return is_route_type(value);
 	}
 	return false;
 }
 
-static void check_unknown(check_report_t *report, const json_t *object,
-			  const char *at, const check_field_t *fields)
+static bool is_known(check_kind_t kind, const char *name)
 {
-	char path[2 * CHECK_PATH_BYTES];
-	const check_field_t *field;
-	const json_t *value;
-	const char *key;
-
-	json_object_foreach ((json_t *)object, key, value) {
-		for (field = fields; field->name; field++)
-			if (strcmp(field->name, key) == 0)
-				break;
-		if (field->name)
-			continue;
-		(void)snprintf(path, sizeof(path), "%s%s", at, key);
-		check_add(report, CHECK_WARNING, path,
-			  "unknown field: it has no effect");
-	}
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(fields); i++)
+		if (fields[i].kind == kind && strcmp(fields[i].name, name) == 0)
+			return true;
+	return false;
 }
 
-void check_fields(check_report_t *report, const json_t *object,
-		  const char *path, const check_field_t *fields)
+void check_fields(check_report_t *report, const check_place_t *place,
+		  check_kind_t kind)
 {
-	char at[CHECK_PATH_BYTES];
-	char member[2 * CHECK_PATH_BYTES];
-	char text[CHECK_TEXT_BYTES];
+	const json_t *value;
+	const char *name;
 
-	if (!json_is_object(object))
+	if (!json_is_object(place->value))
 		return;
-	(void)snprintf(at, sizeof(at), "%s%s", path, *path ? "." : "");
-	for (const check_field_t *field = fields; field->name; field++) {
-		const json_t *value = json_object_get(object, field->name);
-
-		if (field->kind == CHECK_DECODED ||
-		    (!value && field->missing == CHECK_NOTE) ||
-		    is_of_kind(value, field->kind))
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(fields); i++) {
+		if (fields[i].kind != kind)
 			continue;
-		(void)snprintf(member, sizeof(member), "%s%s", at, field->name);
-		check_add(report, value ? CHECK_ERROR : field->missing, member,
-			  "%s: expected %s", check_describe(text, value),
-			  expected[field->kind]);
+		value = json_object_get(place->value, fields[i].name);
+		if ((value || fields[i].missing != CHECK_NOTE) &&
+		    !is_of_type(value, fields[i].type))
+			check_add(report,
+				  value ? CHECK_ERROR : fields[i].missing,
+				  place, fields[i].name, "expected %s",
+				  expected[fields[i].type]);
 	}
-	check_unknown(report, object, at, fields);
+	json_object_foreach ((json_t *)place->value, name, value)
+		if (!is_known(kind, name))
+			check_add(report, CHECK_WARNING, place, name,
+				  "unknown field: it has no effect");
 }
--- a/src/cli/check/lines.c
+++ b/src/cli/check/lines.c
@@ -3,86 +3,58 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A walk over a valid JSON text that keeps the path of the current member. */
+/* The deepest value with a path of interest, the weight of a share, is at
+ * level 6. Deeper ones and long paths are left out to bound the memory. */
+#define LEVEL_MAX 6
+
+/* A walk over a valid JSON text that keeps the path of the current value. */
 typedef struct walk {
 	const char *cursor;
 	const char *end;
 	unsigned int line;
+	size_t level;
+	size_t deepest;
 	carob_buf_t path;
-	check_finding_t *findings; /* of the document, sorted by `where` */
-	size_t count;
+	json_t *lines;
 } walk_t;
 
-static int compare_where(const void *left, const void *right)
-{
-	return strcmp(((const check_finding_t *)left)->where,
-		      ((const check_finding_t *)right)->where);
-}
-
-static int compare_document(const void *left, const void *right)
-{
-	const check_finding_t *a = left;
-	const check_finding_t *b = right;
-
-	return (int)a->document - (int)b->document;
-}
-
-/* Sets the line of the findings with the current path. */
 static void mark_line(walk_t *walk)
 {
-	check_finding_t key = {.where = walk->path.ptr};
-	check_finding_t *found = NULL;
-	check_finding_t *finding;
-
-	if (walk->count)
-		found = bsearch(&key, walk->findings, walk->count, sizeof(key),
-				compare_where);
-	if (!found)
-		return;
-	while (found > walk->findings && compare_where(found - 1, &key) == 0)
-		found--;
-	for (finding = found; finding < walk->findings + walk->count &&
-			      compare_where(finding, &key) == 0;
-	     finding++)
-		if (!finding->line)
-			finding->line = walk->line;
+	if (walk->level <= LEVEL_MAX && walk->path.len < CHECK_PATH_BYTES)
+		(void)json_object_set_new(walk->lines, walk->path.ptr,
+					  json_integer(walk->line));
 }
 
-/* Returns the next character that is no white space; 0 at the end. */
+/* @return the next character that is no white space; 0 at the end */
 static char skip_space(walk_t *walk)
 {
 	for (; walk->cursor < walk->end; walk->cursor++) {
-		if (*walk->cursor == '\n')
-			walk->line++;
-		else if (!strchr(" \t\r", *walk->cursor))
+		if (!strchr(" \t\r\n", *walk->cursor))
 			return *walk->cursor;
+		walk->line += *walk->cursor == '\n';
 	}
 	return 0;
 }
 
-/* Skips a string and returns what is between its quotes, still escaped. */
-static carob_str_t skip_string(walk_t *walk)
+/* Skips a string or another scalar.
+ * @return what is between the quotes of a string, still escaped */
+static carob_str_t skip_scalar(walk_t *walk)
 {
-	const char *begin = ++walk->cursor;
-
-	while (walk->cursor < walk->end && *walk->cursor != '"')
-		walk->cursor += *walk->cursor == '\\' ? 2 : 1;
-	if (walk->cursor > walk->end)
-		walk->cursor = walk->end;
-	walk->cursor++;
-	return (carob_str_t){begin, (size_t)(walk->cursor - 1 - begin)};
-}
+	const char *begin = walk->cursor + 1;
 
-static void skip_scalar(walk_t *walk)
-{
-	while (walk->cursor < walk->end && !strchr(",]} \t\r\n", *walk->cursor))
-		walk->cursor++;
+	if (*walk->cursor != '"') {
+		walk->cursor += strcspn(walk->cursor, ",]} \t\r\n");
+		return (carob_str_t){begin, 0};
+	}
+	for (walk->cursor++; *walk->cursor != '"'; walk->cursor++)
+		walk->cursor += *walk->cursor == '\\';
+	return (carob_str_t){begin, (size_t)(walk->cursor++ - begin)};
 }
 
 static void walk_value(walk_t *walk);
 
-/* Walks over one member of an object or list; `index` counts elements. */
-static void walk_member(walk_t *walk, bool in_list, size_t index)
+/* Walks over member `index` of a list or an object. */
+static int walk_member(walk_t *walk, bool in_list, size_t index)
 {
 	size_t len = walk->path.len;
 	carob_str_t key;
@@ -90,99 +62,67 @@
 
 	if (in_list) {
 		error = carob_buf_printf(&walk->path, "[%zu]", index);
-		mark_line(walk);
 	} else {
-		key = skip_string(walk);
+		key = skip_scalar(walk);
 		error = carob_buf_printf(&walk->path, "%s%.*s", len ? "." : "",
 					 (int)key.len, key.ptr);
-		mark_line(walk);
+	}
+	if (error)
+		return error;
+	mark_line(walk);
+	if (!in_list) {
 		(void)skip_space(walk);
 		walk->cursor++; /* the colon */
 	}
-	if (!error)
-		walk_value(walk);
-	else
-		walk->cursor = walk->end;
+	walk_value(walk);
 	walk->path.len = len;
 	walk->path.ptr[len] = '\0';
+	return 0;
 }
 
-/* The parser limits the depth of what it accepts, so that recursion is
- * bounded. */
+/* The parser of the document has bounded the depth of the recursion. */
 static void walk_value(walk_t *walk)
 {
 	char open = skip_space(walk);
 	char next;
 
-	if (open == '"') {
-		(void)skip_string(walk);
-		return;
-	}
+	if (walk->level > walk->deepest)
+		walk->deepest = walk->level;
 	if (open != '{' && open != '[') {
-		skip_scalar(walk);
+		(void)skip_scalar(walk);
 		return;
 	}
 	walk->cursor++;
+	walk->level++;
 	next = skip_space(walk);
 	for (size_t i = 0; next && next != '}' && next != ']'; i++) {
-		walk_member(walk, open == '[', i);
+		if (walk_member(walk, open == '[', i) != 0)
+			walk->cursor = walk->end;
 		next = skip_space(walk);
 		if (next == ',') {
 			walk->cursor++;
 			next = skip_space(walk);
 		}
 	}
-	walk->cursor++;
+	walk->level--;
+	walk->cursor += next != 0;
 }
 
-static void walk_text(check_finding_t *findings, size_t count, carob_str_t text)
+json_t *check_find_lines(size_t *depth, carob_str_t text)
 {
 	walk_t walk = {.cursor = text.ptr,
 		       .end = text.ptr + text.len,
 		       .line = 1,
-		       .findings = findings,
-		       .count = count};
-
-	qsort(findings, count, sizeof(*findings), compare_where);
-	if (carob_buf_printf(&walk.path, "%s", "") == 0) {
-		(void)skip_space(&walk);
-		mark_line(&walk);
-		walk_value(&walk);
-	}
+		       .level = 1,
+		       .lines = json_object()};
+
+	*depth = 0;
+	if (!walk.lines || carob_buf_printf(&walk.path, "%s", "") != 0)
+		return walk.lines;
+	(void)skip_space(&walk);
+	mark_line(&walk);
+	walk_value(&walk);
 	carob_buf_dispose(&walk.path);
-}
-
-/* Shortens the path of a finding to the object that it is in. */
-static void widen(check_finding_t *finding)
-{
-	char *dot = strrchr(finding->where, '.');
-
-	if (!finding->line)
-		*(dot ? dot : finding->where) = '\0';
-}
-
-void check_find_lines(check_report_t *report, check_document_t document,
-		      carob_str_t text)
-{
-	size_t begin = 0;
-	size_t end;
-
-	if (report->no_memory || !report->count)
-		return;
-	qsort(report->items, report->count, sizeof(*report->items),
-	      compare_document);
-	while (begin < report->count &&
-	       report->items[begin].document != document)
-		begin++;
-	for (end = begin;
-	     end < report->count && report->items[end].document == document;
-	     end++)
-		;
-	if (begin == end)
-		return;
-	walk_text(&report->items[begin], end - begin, text);
-	/* A member that is missing has the line of its object. */
-	for (size_t i = begin; i < end; i++)
-		widen(&report->items[i]);
-	walk_text(&report->items[begin], end - begin, text);
+	*depth = walk.deepest;
+	return walk.lines;
 }
--- a/src/cli/check/report.c
+++ b/src/cli/check/report.c
@@ -5,28 +5,57 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define CAP_MIN 16
+const char *check_severity_name(check_severity_t severity)
+{
+	static const char *const names[] = {"note", "warning", "error"};
 
-static const char *const severity_names[] = {"note", "warning", "error"};
+	return names[severity];
+}
 
-const char *check_severity_name(check_severity_t severity)
+check_place_t check_element(const check_place_t *place, const char *list,
+			    size_t index)
 {
-	return severity_names[severity];
+	check_place_t element = {
+		.value = json_array_get(json_object_get(place->value, list),
+					index)};
+
+	(void)snprintf(element.path, sizeof(element.path), "%.100s%s%s[%zu]",
+		       place->path, *place->path ? "." : "", list, index);
+	return element;
 }
 
-static bool reserve(check_report_t *report)
+const char *check_describe(char out[CHECK_TEXT_BYTES], const json_t *value)
 {
-	size_t cap = report->cap ? 2 * report->cap : CAP_MIN;
-	check_finding_t *grown;
-
-	if (report->count < report->cap)
-		return true;
-	grown = realloc(report->items, cap * sizeof(*grown));
-	if (!grown)
-		return false;
-	report->items = grown;
-	report->cap = cap;
-	return true;
+	const char *kind = json_is_array(value)	   ? "a list"
+			   : json_is_object(value) ? "an object"
+						   : "missing";
+	char *text = NULL;
+	bool cut;
+
+	if (value && !json_is_array(value) && !json_is_object(value))
+		text = json_dumps(value, JSON_ENCODE_ANY | JSON_ENSURE_ASCII);
+	cut = text && strlen(text) >= CHECK_TEXT_BYTES;
+	(void)snprintf(out, CHECK_TEXT_BYTES, "%.*s%s", CHECK_TEXT_BYTES - 4,
+		       text ? text : kind, cut ? "..." : "");
+	free(text);
+	return out;
+}
+
+/* The line of a member that is missing is that of its object. */
+static unsigned int find_line(const json_t *lines, const char *path)
+{
+	char at[CHECK_PATH_BYTES];
+	const json_t *line;
+
+	(void)snprintf(at, sizeof(at), "%s", path);
+	for (;;) {
+		char *dot = strrchr(at, '.');
+
+		line = json_object_get(lines, at);
+		if (line || !*at)
+			return (unsigned int)json_integer_value(line);
+		*(dot ? dot : at) = '\0';
+	}
 }
 
 /* Replaces what a terminal may not show; @return `text` */
@@ -38,68 +67,72 @@
 	return text;
 }
 
-static char *format_reason(const char *fmt, va_list args)
+/* @return room for one more finding, or NULL */
+static check_finding_t *reserve(check_report_t *report)
 {
-	char *text = NULL;
-
-	if (vasprintf(&text, fmt, args) < 0)
-		return NULL;
-	return make_printable(text);
+	size_t cap = report->cap ? 2 * report->cap : 16;
+	check_finding_t *grown = report->items;
+
+	if (report->count == report->cap) {
+		grown = realloc(report->items, cap * sizeof(*grown));
+		if (!grown)
+			return NULL;
+		report->items = grown;
+		report->cap = cap;
+	}
+	return &report->items[report->count++];
 }
 
 void check_add(check_report_t *report, check_severity_t severity,
-	       const char *path, const char *fmt, ...)
+	       const check_place_t *place, const char *name, const char *fmt,
+	       ...)
 {
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t path = CAROB_BUF_INIT;
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t reason = CAROB_BUF_INIT;
+	char text[CHECK_TEXT_BYTES];
 	check_finding_t *finding;
+	char *rest = NULL;
 	va_list args;
+	int error;
 
 	report->counts[severity]++;
 	if (report->count == CHECK_FINDINGS_MAX) {
 		report->omitted++;
 		return;
 	}
-	if (!reserve(report)) {
-		report->no_memory = true;
-		return;
-	}
-	finding = &report->items[report->count];
-	*finding = (check_finding_t){.document = report->document,
-				     .severity = severity,
-				     .rank = report->rank,
-				     .index = report->count,
-				     .path = make_printable(strdup(path)),
-				     .where = strdup(path)};
 	va_start(args, fmt);
-	finding->reason = format_reason(fmt, args);
+	error = vasprintf(&rest, fmt, args) < 0;
+	if (error)
+		rest = NULL; /* not defined on failure */
 	va_end(args);
-	report->count++;
-	if (!finding->path || !finding->where || !finding->reason)
+	if (!error)
+		error = carob_buf_printf(&path, "%s%s%s", place->path,
+					 *place->path && name ? "." : "",
+					 name ? name : "");
+	if (name)
+		check_describe(text, json_object_get(place->value, name));
+	if (!error)
+		error = carob_buf_printf(&reason, "%s%s%s", name ? text : "",
+					 name ? ": " : "", rest);
+	free(rest);
+	finding = error ? NULL : reserve(report);
+	if (!finding) {
 		report->no_memory = true;
-}
-
-const char *check_describe(char out[CHECK_TEXT_BYTES], const json_t *value)
-{
-	char *text;
-
-	if (!value || json_is_object(value) || json_is_array(value)) {
-		(void)snprintf(out, CHECK_TEXT_BYTES, "%s",
-			       !value		      ? "missing"
-			       : json_is_array(value) ? "a list"
-						      : "an object");
-		return out;
+		return;
 	}
-	text = json_dumps(value, JSON_ENCODE_ANY | JSON_ENSURE_ASCII);
-	if (!text || strlen(text) < CHECK_TEXT_BYTES)
-		(void)snprintf(out, CHECK_TEXT_BYTES, "%s", text ? text : "?");
-	else
-		(void)snprintf(out, CHECK_TEXT_BYTES, "%.*s...",
-			       CHECK_TEXT_BYTES - 4, text);
-	free(text);
-	return out;
+	*finding = (check_finding_t){
+		.document = report->document,
+		.severity = severity,
+		.line = find_line(report->lines, path.ptr),
+		.rank = report->rank,
+		.index = report->count,
+		.path = make_printable(path.ptr),
+		.reason = make_printable(reason.ptr),
+	};
+	path = reason = (carob_buf_t)CAROB_BUF_INIT;
 }
 
-/* A finding without a line is about the end of its document, such as settings
- * that the reader of carob-flowd refuses; it follows the others. */
+/* Findings without a line are the last of their document. */
 static int compare(const void *left, const void *right)
 {
 	const check_finding_t *a = left;
@@ -132,7 +165,6 @@
 {
 	for (size_t i = 0; i < report->count; i++) {
 		free(report->items[i].path);
-		free(report->items[i].where);
 		free(report->items[i].reason);
 	}
 	free(report->items);
--- a/tests/integration/flowd_explain.sh
+++ b/tests/integration/flowd_explain.sh
@@ -58,3 +58,13 @@
 store_remove op/evacuate/hou-a
 wait_for_log '"event":2032.*"zone":"hou-a"'
 expect_contains '"decision":"placed"' "$(explain --route 198.18.0.1:443)"
+
+# A configuration that is sent has to be newer than the one in force.
+check='{"version":8,"routes":[],"services":[],"limits":{"idle_timeout_ms":1}}'
+"$BIN/carobctl" check --instance "$NET.2:5702" - <<<"$check" >"$TESTBED_DIR/check" ||
+	[ $? -eq 1 ]
+status=0
+"$BIN/carobctl" check --instance "$NET.2:5702" - <<<"${check/8/7}" \
+	>"$TESTBED_DIR/check" || status=$?
+expect_contains "expected a version above 7" "$(cat "$TESTBED_DIR/check")"
+[ "$status" -eq 2 ]
