--- a/src/cli/check/report.c
+++ b/src/cli/check/report.c
@@ -71,7 +71,7 @@
 static check_finding_t *reserve(check_report_t *report)
 {
 	size_t cap = report->cap ? 2 * report->cap : 16;
-	check_finding_t *grown = report->items;
+	check_finding_t *grown;
 
 	if (report->count == report->cap) {
 		grown = realloc(report->items, cap * sizeof(*grown));
