--- a/src/cli/check/settings.c
+++ b/src/cli/check/settings.c
@@ -16,12 +16,10 @@
 	return json_object_get(settings->value, key) != NULL;
 }
 
-static void check_values(check_report_t *report, const check_place_t *settings)
+/* Reports values out of range with their line. The reader, which stops at the
+ * first fault, refuses them, too. */
+static void check_ranges(check_report_t *report, const check_place_t *settings)
 {
-	double apply_ms =
-		number_of(settings, "apply_ms", FLOWD_APPLY_MS_DEFAULT);
-	double contact_ms =
-		number_of(settings, "contact_ms", FLOWD_CONTACT_MS_DEFAULT);
 	double floor = number_of(settings, "low_priority_floor", 0);
 
 	if (number_of(settings, "cold_overage", 1) < 1)
@@ -30,11 +28,10 @@
 	if (floor < 0 || floor > 1)
 		check_add(report, CHECK_ERROR, settings, "low_priority_floor",
 			  "expected a share from 0 to 1");
-	if (apply_ms > contact_ms)
-		check_add(report, CHECK_WARNING, settings, "apply_ms",
-			  "%g ms is above contact_ms, %g: contact counts as "
-			  "lost before a change has to be in force",
-			  apply_ms, contact_ms);
+}
+
+static void check_effects(check_report_t *report, const check_place_t *settings)
+{
 	if (has(settings, "cold_slack") && !has(settings, "cold_overage"))
 		check_add(report, CHECK_WARNING, settings, "cold_slack",
 			  "no effect without cold_overage");
@@ -69,12 +66,13 @@
 	}
 }
 
-/* Reports what the reader of carob-flowd refuses. */
+/* Reports what the reader of carob-flowd refuses, and durations that it
+ * accepts, defaults included, although they contradict each other. */
 static void check_reader(check_report_t *report, const check_place_t *settings,
 			 carob_str_t text)
 {
 	carob_json_doc_t *doc = NULL;
-	flowd_settings_t read;
+	flowd_settings_t read = {0};
 	carob_json_node_t root;
 	int error = carob_json_doc_parse(&doc, "settings", text,
 					 CAROB_JSON_SETTINGS_BYTES_MAX);
@@ -89,6 +87,11 @@
 	else if (error)
 		check_add(report, CHECK_ERROR, settings, NULL,
 			  "carob-flowd refuses this: %s", carob_error_last());
+	else if (read.apply_ms > read.contact_ms)
+		check_add(report, CHECK_WARNING, settings, "apply_ms",
+			  "%u ms is above contact_ms, %u: the store has to be "
+			  "read again before a change has to be in force",
+			  read.apply_ms, read.contact_ms);
 }
 
 void check_settings(check_report_t *report, const json_t *root,
@@ -97,9 +100,9 @@
 	check_place_t place = {"", root};
 	size_t errors = report->counts[CHECK_ERROR];
 
-	check_values(report, &place);
+	check_ranges(report, &place);
+	check_effects(report, &place);
 	check_rates(report, &place, config);
-	/* The reader stops at the first fault, which may be known already. */
 	if (report->counts[CHECK_ERROR] == errors)
 		check_reader(report, &place, text);
 }
--- a/src/flowd/settings.c
+++ b/src/flowd/settings.c
@@ -5,7 +5,10 @@
 #include <string.h>
 
 /* Maximum length of the name of an instance or a zone. */
-#define NAME_MAX_BYTES	     255
+#define NAME_MAX_BYTES 255
+/* The defaults are the bounds of the platform's smallest deployments. */
+#define CONTACT_MS_DEFAULT   4000
+#define APPLY_MS_DEFAULT     3000
 #define STOP_GRACE_S_DEFAULT 6
 #define DURATION_MS_MIN	     100
 #define DURATION_MS_MAX	     3600000
@@ -104,10 +107,10 @@
 	int error;
 
 	error = read_duration(&out->contact_ms, root, "contact_ms",
-			      FLOWD_CONTACT_MS_DEFAULT);
+			      CONTACT_MS_DEFAULT);
 	if (!error)
 		error = read_duration(&out->apply_ms, root, "apply_ms",
-				      FLOWD_APPLY_MS_DEFAULT);
+				      APPLY_MS_DEFAULT);
 	if (!error)
 		error = carob_json_get_real_or(&grace_s, root, "stop_grace_s",
 					       STOP_GRACE_S_MIN,
--- a/src/flowd/settings.h
+++ b/src/flowd/settings.h
@@ -8,11 +8,6 @@
 #include "carobtrail/ids.h"
 #include "util/json_doc.h"
 
-/** Defaults in milliseconds: the bounds of the platform's smallest
- * deployments. */
-#define FLOWD_CONTACT_MS_DEFAULT 4000
-#define FLOWD_APPLY_MS_DEFAULT	 3000
-
 /** All settings of one instance; strings borrow from the document. */
 typedef struct flowd_settings {
 	carob_str_t instance;
