--- a/src/cli/check/check.h
+++ b/src/cli/check/check.h
@@ -8,7 +8,8 @@
 
 #include "carobtrail/str.h"
 
-/** Maximum number of findings that are kept; the others are counted. */
+/** Maximum number of findings of each severity that are kept, so that many of
+ * one do not hide those of another; the others are counted. */
 #define CHECK_FINDINGS_MAX 1000
 
 /** How serious a finding is. */
--- a/src/cli/check/report.c
+++ b/src/cli/check/report.c
@@ -95,8 +95,7 @@
 	va_list args;
 	int error;
 
-	report->counts[severity]++;
-	if (report->count == CHECK_FINDINGS_MAX) {
+	if (report->counts[severity]++ >= CHECK_FINDINGS_MAX) {
 		report->omitted++;
 		return;
 	}
--- a/tests/cli/check_test.c
+++ b/tests/cli/check_test.c
@@ -273,6 +273,28 @@
 	}
 }
 
+/* A great many warnings must not hide an error that is found after them. */
+static void test_many_findings(void)
+{
+	CAROB_CLEANUP(check_report_dispose) check_report_t report;
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t text = CAROB_BUF_INIT;
+	check_input_t input = {0};
+
+	CU_ASSERT_EQUAL(carob_buf_printf(&text, "{"), 0);
+	for (int i = 0; i < CHECK_FINDINGS_MAX + 5; i++)
+		CU_ASSERT_EQUAL(carob_buf_printf(&text, "\"%d\":1,", i), 0);
+	CU_ASSERT_EQUAL(carob_buf_printf(&text, "%s",
+					 "\"version\":7,\"routes\":[],"
+					 "\"services\":[{\"name\":7}],"
+					 "\"limits\":" LIMITS "}"),
+			0);
+	input.config = carob_buf_view(&text);
+	CU_ASSERT_EQUAL(check_run(&report, &input), 0);
+	CU_ASSERT_PTR_NOT_NULL(find(&report, "services[0].name", "7"));
+	/* The service also lacks four members. */
+	CU_ASSERT_EQUAL(report.omitted, 5 + 4);
+}
+
 int main(void)
 {
 	static const test_case_t tests[] = {
@@ -280,6 +302,7 @@
 		{"settings", test_settings},
 		{"order of differences", test_differences},
 		{"versions in force", test_versions},
+		{"many findings", test_many_findings},
 	};
 
 	return run_tests("check", tests, CAROB_ARRAY_SIZE(tests));
