steering: all flows of an upstream that is gone are reset

Once the upstream is known to be gone, idle flows are reset too, so that the next request runs elsewhere, and those that wait learn at once that no answer will come.

--- a/src/flow/steering/steering_sweep.c
+++ b/src/flow/steering/steering_sweep.c
@@ -28,11 +28,22 @@
 	/** Whether the flows of an upstream are reset. */
 	bool (*applies)(const carob_steering_t *steering,
 			carob_upstream_index_t upstream);
+	/** Also flows without a request in progress, and those whose requests
+	 * may not be repeated. */
+	bool all;
 	uint64_t count;
 } reset_visitor_t;
 
-static bool reset_pending_flow(carob_flow_visitor_t *visitor,
-			       carob_flow_t *flow)
+static bool may_repeat(const carob_steering_t *steering,
+		       const carob_flow_packet_t *packet)
+{
+	const carob_route_t *route = NULL;
+
+	(void)carob_route_table_find(&route, steering->routes, packet->route);
+	return route && route->idempotent;
+}
+
+static bool reset_flow(carob_flow_visitor_t *visitor, carob_flow_t *flow)
 {
 	reset_visitor_t *reset = (reset_visitor_t *)visitor;
 	carob_steering_t *steering = reset->steering;
@@ -40,13 +51,11 @@
 		.caller = {flow->caller_ip, flow->caller_port},
 		.route = {flow->route_ip, flow->route_port},
 	};
-	const carob_route_t *route = NULL;
 
-	if (!flow->pending || flow->phase != CAROB_FLOW_OPEN ||
+	if (flow->phase != CAROB_FLOW_OPEN ||
 	    !reset->applies(steering, flow->upstream))
 		return false;
-	(void)carob_route_table_find(&route, steering->routes, packet.route);
-	if (!route || !route->idempotent)
+	if (!reset->all && (!flow->pending || !may_repeat(steering, &packet)))
 		return false;
 	reset->sender->send(reset->sender, &packet, flow->last_ack);
 	reset->count++;
@@ -60,29 +69,32 @@
 	return upstream == steering->silent_upstream;
 }
 
-/* Returns whether a request is in progress on an upstream that is gone. */
+/* Returns whether there are flows on an upstream that is gone. */
 static bool has_gone_upstream(const carob_steering_t *steering)
 {
 	const carob_upstream_table_t *table = steering->upstreams;
 
 	for (size_t i = 0; i < table->count; i++)
 		if (table->items[i].used && table->items[i].removed_ns != 0 &&
-		    table->items[i].pending > 0 &&
+		    table->items[i].open_flows > 0 &&
 		    carob_steering_is_gone(steering, (uint32_t)i))
 			return true;
 	return false;
 }
 
-/* Resets the waiting flows of all upstreams that are gone. Their callers may
- * retransmit only after their deadline. Not so while packets are read late: an
- * answer may be waiting among them. */
+/* Resets the flows of all upstreams that are gone. Callers that wait learn it
+ * at once, also those whose requests may not be repeated; they may retransmit
+ * only after their deadline. A caller without a request opens a new flow for
+ * its next one, which then runs elsewhere. Not so while packets are read late:
+ * an answer may be waiting among them. */
 static void reset_gone(carob_steering_t *steering, carob_reset_sender_t *sender)
 {
 	uint64_t now = carob_steering_now_ns(steering);
-	reset_visitor_t reset = {.visitor.visit = reset_pending_flow,
+	reset_visitor_t reset = {.visitor.visit = reset_flow,
 				 .steering = steering,
 				 .sender = sender,
-				 .applies = carob_steering_is_gone};
+				 .applies = carob_steering_is_gone,
+				 .all = true};
 
 	if (!steering->reset_gone || steering->reads_late ||
 	    now - steering->gone_checked_ns < GONE_CHECK_NS)
@@ -101,7 +113,7 @@
 void carob_steering_reset_silent(carob_steering_t *steering,
 				 carob_reset_sender_t *sender)
 {
-	reset_visitor_t reset = {.visitor.visit = reset_pending_flow,
+	reset_visitor_t reset = {.visitor.visit = reset_flow,
 				 .steering = steering,
 				 .sender = sender,
 				 .applies = is_silent_upstream};
