steering: idle flows of an upstream that is gone are reset too

Requests in progress that may not be repeated wait again: where a zone was only cut off, they may have run, and their answers come late. An instance that has seen the flows resets the idle ones.

--- a/src/flow/steering/steering.c
+++ b/src/flow/steering/steering.c
@@ -314,8 +314,9 @@
 			      carob_upstream_index_t upstream,
 			      const carob_route_t *route)
 {
-	return route && packet->data_bytes > 0 && !packet->fin &&
-	       !packet->rst && carob_steering_is_evidence(steering, packet) &&
+	return route && route->idempotent && packet->data_bytes > 0 &&
+	       !packet->fin && !packet->rst &&
+	       carob_steering_is_evidence(steering, packet) &&
 	       carob_steering_is_gone(steering, upstream);
 }
 
--- a/src/flow/steering/steering_sweep.c
+++ b/src/flow/steering/steering_sweep.c
@@ -28,9 +28,7 @@
 	/** Whether the flows of an upstream are reset. */
 	bool (*applies)(const carob_steering_t *steering,
 			carob_upstream_index_t upstream);
-	/** Also flows without a request in progress, and those whose requests
-	 * may not be repeated. */
-	bool all;
+	bool idle; /* also flows without a request in progress */
 	uint64_t count;
 } reset_visitor_t;
 
@@ -55,7 +53,7 @@
 	if (flow->phase != CAROB_FLOW_OPEN ||
 	    !reset->applies(steering, flow->upstream))
 		return false;
-	if (!reset->all && (!flow->pending || !may_repeat(steering, &packet)))
+	if (flow->pending ? !may_repeat(steering, &packet) : !reset->idle)
 		return false;
 	reset->sender->send(reset->sender, &packet, flow->last_ack);
 	reset->count++;
@@ -82,11 +80,12 @@
 	return false;
 }
 
-/* Resets the flows of all upstreams that are gone. Callers that wait learn it
- * at once, also those whose requests may not be repeated; they may retransmit
- * only after their deadline. A caller without a request opens a new flow for
- * its next one, which then runs elsewhere. Not so while packets are read late:
- * an answer may be waiting among them. */
+/* Resets the flows of all upstreams that are gone. Callers that wait may
+ * retransmit only after their deadline. A caller without a request opens a new
+ * flow for its next one, which runs elsewhere; sent on the old flow, one that
+ * may not be repeated would be lost. Those in progress wait: they may have run,
+ * and an answer may come late. Not so while packets are read late: an answer
+ * may be waiting among them. */
 static void reset_gone(carob_steering_t *steering, carob_reset_sender_t *sender)
 {
 	uint64_t now = carob_steering_now_ns(steering);
@@ -94,7 +93,7 @@
 				 .steering = steering,
 				 .sender = sender,
 				 .applies = carob_steering_is_gone,
-				 .all = true};
+				 .idle = true};
 
 	if (!steering->reset_gone || steering->reads_late ||
 	    now - steering->gone_checked_ns < GONE_CHECK_NS)
