--- a/tests/flow/zone_lost_test.c
+++ b/tests/flow/zone_lost_test.c
@@ -412,7 +412,7 @@
 {
 	static const struct {
 		bool idempotent;
-		uint32_t age_ms; /* of the packets that are read meanwhile */
+		uint32_t age_ms;  /* of the packets that are read meanwhile */
 		uint32_t resets;  /* of 4 waiting and 2 idle flows */
 		uint32_t pending; /* left on the first upstream */
 	} cases[] = {{true, 0, 6, 0}, {true, 60, 0, 1}, {false, 0, 2, 1}};
