--- a/src/flow/steering/steering.c
+++ b/src/flow/steering/steering.c
@@ -127,7 +127,7 @@
 	uint32_t now = carob_steering_now_ms(steering);
 	carob_flow_packet_t key = *packet;
 	carob_attempt_t attempt;
-	const carob_flow_t *flow;
+	carob_flow_t *flow;
 	uint64_t connect_ms;
 
 	if (!carob_attempt_table_exchange(&attempt, &steering->attempts, packet,
@@ -145,6 +145,8 @@
 	carob_failure_detector_record_refusal(steering->upstreams,
 					      flow->upstream,
 					      carob_steering_now_ns(steering));
+	/* Otherwise the attempt counts as load until it expires. */
+	carob_steering_set_pending(steering, flow, false);
 	return flow->upstream;
 }
 
