steering: a second attempt does not get past slow start

Slow start does not hold back the upstream that a flow was on before, which is meant for copies of its SYN.

--- a/src/flow/steering/steering.c
+++ b/src/flow/steering/steering.c
@@ -12,6 +12,10 @@
 /* A caller whose attempt was reset tries again at once; one that had no answer
  * gives an attempt up after 1.4 s, and copies its SYN after 200 ms. */
 #define ATTEMPT_MS_MAX 200
+/* Quantile of the times from a SYN to the caller's next packet. A reset takes
+ * as long to arrive, so an attempt that follows sooner is that of another user
+ * with the address of the caller. */
+#define CONNECT_QUANTILE 0.1
 /* Callers send two copies of a SYN. */
 #define SYN_COPY_LAST 2
 
@@ -112,10 +116,6 @@
 	return carob_admission_decide(&steering->admission, &out->load, &query);
 }
 
-/* Time from a SYN to the caller's next packet on nearly all flows: an earlier
- * second attempt is that of another user of the same caller. */
-#define CONNECT_QUANTILE 0.1
-
 /* Finds out whether the last attempt of the caller was reset by its upstream,
  * which this instance does not see: it has not opened, and the caller tries
  * again sooner than a SYN without an answer would let it.
@@ -162,6 +162,11 @@
 	if (steering->load_view)
 		except = find_refused_attempt(steering, packet);
 	to = carob_steering_place(steering, route, packet, except);
+	/* Slow start does not hold back `except`, which is meant for copies of
+	 * a SYN; this is a new flow. */
+	if (except != CAROB_UPSTREAM_NONE && to == except)
+		to = carob_steering_place(steering, route, packet,
+					  CAROB_UPSTREAM_NONE);
 	if (to == CAROB_UPSTREAM_NONE) {
 		set_decision(out, steering,
 			     carob_steering_reason_unplaced(steering, route,
--- a/tests/flow/refused_attempt_test.c
+++ b/tests/flow/refused_attempt_test.c
@@ -13,6 +13,8 @@
 #define CONNECT_MS 7
 #define FIRST_PORT 10
 #define PER_ZONE   4
+#define COLD_PER_S 10.0
+#define COLD_MS	   60000
 
 typedef struct fixture {
 	carob_manual_clock_t clock;
@@ -27,14 +29,19 @@
 	carob_route_t route = {.endpoint = FIXTURE_ROUTE,
 			       .idempotent = true,
 			       .share_count = 1};
-	carob_route_config_t config = {
-		.version = 1, .count = 1, .routes = &route};
+	carob_service_config_t service = {.cold_per_s = COLD_PER_S};
+	carob_route_config_t config = {.version = 1,
+				       .count = 1,
+				       .routes = &route,
+				       .service_count = 1,
+				       .services = &service};
 
 	CU_ASSERT_EQUAL_FATAL(carob_name_table_add(&route.shares[0].service,
 						   &fixture->upstreams.services,
 						   CAROB_STR("web")),
 			      0);
 	route.shares[0].weight = 1;
+	service.service = route.shares[0].service;
 	CU_ASSERT_EQUAL_FATAL(
 		carob_route_table_apply(&fixture->routes, &config), 0);
 }
@@ -178,11 +185,50 @@
 	fixture_dispose(&fixture);
 }
 
+/* The only upstream is cold, and its service states a rate. A caller that tries
+ * again must not get past the slow start: over ten seconds, callers of which
+ * each tries twice get as many flows as the rate allows. */
+static void test_cold_upstream(void)
+{
+	fixture_upstream_t cold =
+		UPSTREAM("ua", 1, "web", "a", 2, .cold_ms = COLD_MS);
+	carob_pace_options_t pace = {
+		.cold_overage = 1.5, .cold_slack = 5, .instances = 1};
+	uint32_t placed = 0;
+	fixture_t fixture;
+
+	fixture_init(&fixture, true);
+	(void)open_flow(&fixture, 1);
+	fixture.view.zone_instances = 1;
+	fixture.view.all_instances = 1;
+	for (uint64_t i = 1; i < 2 * PER_ZONE; i++)
+		carob_upstream_table_remove(
+			&fixture.upstreams,
+			carob_str_from(fixture.upstreams.items[i].id), 100,
+			CAROB_UPSTREAM_GONE, FIXTURE_START);
+	fixture_put(&fixture.upstreams, &cold, 101);
+	fixture.upstreams.items[0].cold_until_ns = FIXTURE_START + COLD_MS * MS;
+	carob_steering_set_pace(fixture.steering, &pace);
+	for (uint16_t i = 0; i < 1000; i++) {
+		carob_flow_packet_t syn = fixture_syn(FIRST_PORT + i, 0);
+
+		carob_manual_clock_advance(&fixture.clock,
+					   (i % 2 ? 8 : 12) * MS);
+		placed += steer(&fixture, &syn) != NULL;
+	}
+	CU_ASSERT_TRUE(placed > 0);
+	CU_ASSERT_TRUE(placed <= 10 * COLD_PER_S + 5);
+	if (placed > 10 * COLD_PER_S + 5)
+		printf("\n%u placed", placed);
+	fixture_dispose(&fixture);
+}
+
 int main(void)
 {
 	static const test_case_t cases[] = {
 		{"attempts of a caller", test_attempts},
 		{"a zone that resets", test_crashed_zone},
+		{"a cold upstream", test_cold_upstream},
 	};
 
 	carob_log_configure("test", NULL, CAROB_LOG_ERROR, NULL);
