service_load: count avoided upstreams if there are no others

With all upstreams of a service avoided, its room was zero: all flows were refused, and none could show that an upstream responds again. Placement uses avoided upstreams if there are no others, and so does the room now.

--- a/src/flow/decisions/service_load.c
+++ b/src/flow/decisions/service_load.c
@@ -29,10 +29,12 @@
 #define HOLD_FACTOR 1.0
 
 static void add_upstream(carob_service_load_t *load,
-			 const carob_upstream_t *upstream, uint64_t now_ns)
+			 const carob_upstream_t *upstream, bool with_avoided,
+			 uint64_t now_ns)
 {
 	if (!carob_upstream_accepts(upstream) ||
-	    carob_failure_detector_is_avoided(upstream, now_ns))
+	    (!with_avoided &&
+	     carob_failure_detector_is_avoided(upstream, now_ns)))
 		return;
 	load->slots += now_ns < upstream->cold_until_ns
 			       ? COLD_FACTOR * upstream->slots
@@ -44,6 +46,22 @@
 	load->others_sum += upstream->others_load;
 }
 
+static void sum_upstreams(carob_service_load_t *load,
+			  const carob_upstream_table_t *table,
+			  const carob_service_load_query_t *query,
+			  bool with_avoided)
+{
+	load->slots = 0;
+	load->zone_set = 0;
+	load->pending = 0;
+	load->accepted = 0;
+	load->idle = 0;
+	load->others_sum = 0;
+	CAROB_UPSTREAMS_OF (i, table, query->service)
+		add_upstream(load, &table->items[i], with_avoided,
+			     query->now_ns);
+}
+
 static void track_least(carob_service_load_t *load, uint64_t now_ns)
 {
 	if (load->least_since_ns == 0 ||
@@ -105,14 +123,10 @@
 
 	if (load->summed_ns != 0 && now - load->summed_ns < SUM_AGE_NS)
 		return;
-	load->slots = 0;
-	load->zone_set = 0;
-	load->pending = 0;
-	load->accepted = 0;
-	load->idle = 0;
-	load->others_sum = 0;
-	CAROB_UPSTREAMS_OF (i, table, query->service)
-		add_upstream(load, &table->items[i], now);
+	sum_upstreams(load, table, query, false);
+	/* Flows are placed on avoided upstreams if there are no others. */
+	if (load->slots <= 0)
+		sum_upstreams(load, table, query, true);
 	load->parts = count_parts(load, query);
 	load->summed_ns = now;
 	(void)carob_service_load_own(load, now);
--- a/tests/flow/shared_admission_test.c
+++ b/tests/flow/shared_admission_test.c
@@ -151,6 +151,36 @@
 	stop(&fixture);
 }
 
+/* Avoided upstreams are no room, unless there are no others: refusing all flows
+ * would leave no way to notice that they respond again. */
+static void test_avoided(void)
+{
+	static const struct {
+		uint32_t avoided;
+		double slots;
+	} rows[] = {
+		{0, HOSTS * SLOTS}, {HOSTS / 2, HOSTS}, {HOSTS, HOSTS * SLOTS}};
+	static fixture_t fixture;
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(rows); i++) {
+		carob_shared_load_t load;
+
+		start(&fixture);
+		for (uint32_t host = 0; host < rows[i].avoided; host++) {
+			carob_upstream_t *upstream =
+				&fixture.upstreams.items[host];
+
+			upstream->stalled = true;
+			upstream->avoid_until_ns =
+				FIXTURE_START + CAROB_NS_PER_S;
+		}
+		CU_ASSERT_EQUAL(decide(&fixture, &load),
+				CAROB_ADMISSION_ACCEPT);
+		CU_ASSERT_DOUBLE_EQUAL(load.slots, rows[i].slots, 0.01);
+		stop(&fixture);
+	}
+}
+
 /* The sums over the upstreams must not be taken for each flow, and must not be
  * used for longer than some milliseconds. */
 static void test_cached_sums(void)
@@ -389,6 +419,7 @@
 	static const test_case_t tests[] = {
 		{"decisions", test_decisions},
 		{"deferrals in a wave", test_deferrals},
+		{"avoided upstreams", test_avoided},
 		{"cached sums", test_cached_sums},
 		{"sheds", test_sheds},
 		{"work time", test_work_time},
