--- a/fuzzers/config_check_fuzzer.c
+++ b/fuzzers/config_check_fuzzer.c
@@ -48,8 +48,8 @@
 {
 	carob_str_t text = {(const char *)data, size};
 	check_input_t input = {.config = text, .settings = text};
-	CAROB_CLEANUP(check_report_dispose) check_report_t report;
-	CAROB_CLEANUP(check_report_dispose) check_report_t compared;
+	CAROB_CLEANUP(check_report_dispose) check_report_t report = {0};
+	CAROB_CLEANUP(check_report_dispose) check_report_t compared = {0};
 
 	carob_log_configure("fuzzer", NULL, CAROB_LOG_ERROR, NULL);
 	if (size == 0 || size > TEXT_BYTES)
