src/flow: one copy of what several files had

The number of the last copy of a SYN stood in three files, the weight of an idle flow and the part of a cold upstream's slots in two, and the evidence against an upstream was cleared in two. They stand with the packet and the upstream table now. No behaviour changes.

--- a/include/carobtrail/flow_packet.h
+++ b/include/carobtrail/flow_packet.h
@@ -8,6 +8,9 @@
 
 #include "carobtrail/endpoint.h"
 
+/** Number of the last copy of a SYN that callers send, after 200 and 600 ms. */
+#define CAROB_SYN_COPY_LAST 2
+
 /** Header of a packet from a caller to an upstream. */
 typedef struct carob_flow_packet {
 	carob_endpoint_t caller;
--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -345,6 +345,25 @@
 	     group != NULL;                                                    \
 	     group = carob_upstream_table_next_group(table, group))
 
+/** Discards the evidence of the failure detector against an upstream: it has
+ * answered, or a new incarnation of it has started. */
+void carob_upstream_discard_evidence(carob_upstream_t *upstream);
+
+/** Load of an open flow without a request in progress, in requests. */
+#define CAROB_IDLE_FLOW_LOAD 0.1
+/** Part of its slots with which a cold upstream counts: its requests take about
+ * 1.6 times as long. */
+#define CAROB_COLD_SLOTS_PART 0.6
+
+/** @return the slots of an upstream, fewer while it is cold */
+static inline double
+carob_upstream_usable_slots(const carob_upstream_t *upstream, uint64_t now_ns)
+{
+	return now_ns < upstream->cold_until_ns
+		       ? CAROB_COLD_SLOTS_PART * upstream->slots
+		       : upstream->slots;
+}
+
 /** @return whether new flows may be placed on the upstream */
 static inline bool carob_upstream_accepts(const carob_upstream_t *upstream)
 {
--- a/src/flow/decisions/admission.c
+++ b/src/flow/decisions/admission.c
@@ -19,9 +19,6 @@
  * from its limit. In a lasting overload it never is. */
 #define DEFERRALS_PER_ACCEPTED 0.1
 #define FAR_FROM_LIMIT	       0.5
-/* Callers send two copies of a SYN. After the last one, a deferral would only
- * delay the refusal. */
-#define SYN_COPY_LAST 2
 
 typedef struct service_load {
 	uint32_t pending;
@@ -143,7 +140,8 @@
 		return CAROB_ADMISSION_ACCEPT;
 	}
 	fill_budget(service, max, 0);
-	if (query->syn_copy < SYN_COPY_LAST && take_deferral(service))
+	/* After the last copy, a deferral would only delay the refusal. */
+	if (query->syn_copy < CAROB_SYN_COPY_LAST && take_deferral(service))
 		return CAROB_ADMISSION_DEFER;
 	return CAROB_ADMISSION_REFUSE;
 }
--- a/src/flow/decisions/failure_detector.c
+++ b/src/flow/decisions/failure_detector.c
@@ -91,12 +91,7 @@
 			  CAROB_FIELD_CSTR("upstream", upstream->id),
 			  CAROB_FIELD_U64("failures",
 					  upstream->unanswered_syns));
-	upstream->unanswered_syns = 0;
-	upstream->refused_syns = 0;
-	upstream->repeated_requests = 0;
-	upstream->stalled = false;
-	upstream->overdue_ns = 0;
-	upstream->avoid_until_ns = 0;
+	carob_upstream_discard_evidence(upstream);
 	upstream->answered_ns = now_ns;
 	table->answered_ns = now_ns;
 	if (!group)
--- a/src/flow/decisions/pace.c
+++ b/src/flow/decisions/pace.c
@@ -43,6 +43,7 @@
  * update reads all upstreams. */
 #define UPDATE_NS_MIN	       (100 * CAROB_NS_PER_MS)
 #define UPDATE_NS_PER_UPSTREAM 25000
+
 static bool is_on(const carob_pace_t *pace)
 {
 	return pace->options.cold_overage > 0;
--- a/src/flow/decisions/placement.c
+++ b/src/flow/decisions/placement.c
@@ -7,8 +7,6 @@
 /* How much lower the load in another zone has to be, in requests per slot. At
  * this margin one request waits for each slot of the own zone. */
 #define OTHER_ZONE_MARGIN 1.0
-/* Fraction of its slots with which a cold upstream is counted. */
-#define COLD_FACTOR 0.6
 
 /* Preference classes of upstreams, the most preferred first. */
 typedef enum candidate_class {
@@ -59,7 +57,7 @@
 {
 	if (upstream->open_flows <= upstream->pending)
 		return 0;
-	return CAROB_PLACEMENT_IDLE_WEIGHT *
+	return CAROB_IDLE_FLOW_LOAD *
 	       (upstream->open_flows - upstream->pending);
 }
 
@@ -84,19 +82,10 @@
 	return slots > 0 ? load / slots : 0;
 }
 
-double carob_placement_slots(const carob_upstream_t *upstream,
-			     const carob_placement_query_t *query)
-{
-	double slots = upstream->slots;
-
-	return query->now_ns < upstream->cold_until_ns ? slots * COLD_FACTOR
-						       : slots;
-}
-
 static double cost_of(const carob_upstream_t *upstream,
 		      const carob_placement_query_t *query, double home_idle)
 {
-	double slots = carob_placement_slots(upstream, query);
+	double slots = carob_upstream_usable_slots(upstream, query->now_ns);
 	double load = upstream->pending + carob_placement_idle_load(upstream);
 
 	if (upstream->zone == query->home_zone)
--- a/src/flow/decisions/placement_priv.h
+++ b/src/flow/decisions/placement_priv.h
@@ -8,9 +8,6 @@
 
 #include "carobtrail/placement.h"
 
-/** Load of an idle flow, in requests in progress. */
-#define CAROB_PLACEMENT_IDLE_WEIGHT 0.1
-
 /**
  * Ranks up to this one last for seconds at least, so that the rank of a zone
  * may be measured now and then. Higher ones may change with each flow.
@@ -31,10 +28,6 @@
 /** @return the load of the idle flows of this instance, in requests */
 double carob_placement_idle_load(const carob_upstream_t *upstream);
 
-/** @return the slots of an upstream, fewer while it is cold */
-double carob_placement_slots(const carob_upstream_t *upstream,
-			     const carob_placement_query_t *query);
-
 /** @return whether the load of all, or an estimate of it, is known */
 bool carob_placement_is_shared(const carob_placement_query_t *query);
 
--- a/src/flow/decisions/service_load.c
+++ b/src/flow/decisions/service_load.c
@@ -9,10 +9,6 @@
 #define SUM_AGE_NS (10 * CAROB_NS_PER_MS)
 /* Without a sum for this long, the means of earlier views tell nothing. */
 #define HISTORY_AGE_NS CAROB_NS_PER_S
-/* Weight of an idle flow in `others_load`, in requests; see placement.c. */
-#define IDLE_FLOW_WEIGHT 0.1
-/* Fraction of its slots with which a cold upstream counts; see placement.c. */
-#define COLD_FACTOR 0.6
 /* Time constant of the mean of the own load: the interval of the reports with
  * which it is compared. */
 #define MEAN_NS (250 * CAROB_NS_PER_MS)
@@ -36,9 +32,7 @@
 	    (!with_avoided &&
 	     carob_failure_detector_is_avoided(upstream, now_ns)))
 		return;
-	load->slots += now_ns < upstream->cold_until_ns
-			       ? COLD_FACTOR * upstream->slots
-			       : upstream->slots;
+	load->slots += carob_upstream_usable_slots(upstream, now_ns);
 	load->zone_set |= 1ULL << (upstream->zone % ZONES_MAX);
 	load->pending += upstream->pending;
 	if (upstream->open_flows > upstream->pending)
@@ -82,7 +76,7 @@
 static double idle_weight_of_others(const carob_service_load_t *load,
 				    uint32_t instances)
 {
-	double weight = IDLE_FLOW_WEIGHT * load->idle * (instances - 1.0);
+	double weight = CAROB_IDLE_FLOW_LOAD * load->idle * (instances - 1.0);
 
 	for (size_t i = 0; i < CAROB_ARRAY_SIZE(load->least_sum); i++)
 		if (load->least_sum[i] < weight)
--- a/src/flow/decisions/shared_admission.c
+++ b/src/flow/decisions/shared_admission.c
@@ -41,11 +41,9 @@
 #define BURST_DEVIATIONS 2.0
 /* The least such burst while less than half of the room is used: the part of an
  * instance may be less than one request. */
-#define BURST_MIN 2.0
-/* Callers send two copies of a SYN, 200 ms and 600 ms after it. */
-#define SYN_COPY_LAST 2
-#define ARRIVALS_NS   CAROB_NS_PER_S /* time constant of the mean */
-#define BUCKET_NS     (50 * CAROB_NS_PER_MS)
+#define BURST_MIN   2.0
+#define ARRIVALS_NS CAROB_NS_PER_S /* time constant of the mean */
+#define BUCKET_NS   (50 * CAROB_NS_PER_MS)
 /* Counts of accepted flows decay over some seconds; a refusal is remembered for
  * five half-lives, which is as long as a caller needs for its attempts. */
 #define ACCEPTED_HALF_LIFE_NS (4 * CAROB_NS_PER_S)
@@ -310,13 +308,14 @@
 static bool goes_first(const decision_t *decision)
 {
 	/* Age of a copy of a SYN. */
-	static const uint32_t sent_ms[SYN_COPY_LAST + 1] = {0, 200, 600};
+	static const uint32_t sent_ms[CAROB_SYN_COPY_LAST + 1] = {0, 200, 600};
 	const carob_admission_query_t *query = decision->query;
 
 	if (query->syn_copy > 0)
 		return query->target_ms == 0 ||
-		       sent_ms[query->syn_copy < SYN_COPY_LAST ? query->syn_copy
-							       : SYN_COPY_LAST] <
+		       sent_ms[query->syn_copy < CAROB_SYN_COPY_LAST
+				       ? query->syn_copy
+				       : CAROB_SYN_COPY_LAST] <
 			       query->target_ms;
 	return carob_caller_sketch_count(&decision->admission->refused,
 					 query->caller_ip, query->now_ns) > 0;
@@ -401,14 +400,14 @@
 static bool expects_room(const decision_t *decision)
 {
 	/* From a SYN or a copy of it until the last copy. */
-	static const double until_last_s[SYN_COPY_LAST] = {0.6, 0.4};
+	static const double until_last_s[CAROB_SYN_COPY_LAST] = {0.6, 0.4};
 	carob_shared_service_t *service = decision->service;
 	const carob_admission_query_t *query = decision->query;
 	double waiting = fmax(decision->load->own - decision->load->limit, 0);
 	double served_per_s = 1000 * decision->slot_share /
 			      carob_service_load_work_ms(&service->load);
 
-	if (query->syn_copy >= SYN_COPY_LAST ||
+	if (query->syn_copy >= CAROB_SYN_COPY_LAST ||
 	    (decision->load->view_is_fresh &&
 	     fmin(service->load.others, service->load.others_before) +
 			     service->load.own_history[0] >
@@ -424,7 +423,7 @@
 
 static void expect_return(const decision_t *decision)
 {
-	static const uint64_t until_next_ns[SYN_COPY_LAST] = {
+	static const uint64_t until_next_ns[CAROB_SYN_COPY_LAST] = {
 		200 * CAROB_NS_PER_MS, 400 * CAROB_NS_PER_MS};
 	const carob_admission_query_t *query = decision->query;
 	uint64_t due = query->now_ns + until_next_ns[query->syn_copy];
--- a/src/flow/decisions/shared_placement.c
+++ b/src/flow/decisions/shared_placement.c
@@ -186,7 +186,8 @@
 	if (rank > CAROB_PLACEMENT_STEADY_RANK)
 		return;
 	sums->count++;
-	sums->slots += weight * carob_placement_slots(upstream, query->flow);
+	sums->slots += weight * carob_upstream_usable_slots(
+					upstream, query->flow->now_ns);
 	sums->load += weight * load_of(query, upstream);
 	sums->late += late_of(query, upstream);
 	sums->others_load += upstream->others_load;
@@ -300,19 +301,19 @@
 {
 	double sum = 0;
 
-	CAROB_UPSTREAM_GROUPS_OF(group, query->table, query->flow->service)
-	sum += group->load.spill;
+	CAROB_UPSTREAM_GROUPS_OF (group, query->table, query->flow->service)
+		sum += group->load.spill;
 	if (sum <= SPILL_MAX)
 		return;
-	CAROB_UPSTREAM_GROUPS_OF(group, query->table, query->flow->service)
-	group->load.spill *= SPILL_MAX / sum;
+	CAROB_UPSTREAM_GROUPS_OF (group, query->table, query->flow->service)
+		group->load.spill *= SPILL_MAX / sum;
 }
 
 static carob_upstream_group_t *home_group(const shared_query_t *query)
 {
-	CAROB_UPSTREAM_GROUPS_OF(group, query->table, query->flow->service)
-	if (is_home(query, group))
-		return group;
+	CAROB_UPSTREAM_GROUPS_OF (group, query->table, query->flow->service)
+		if (is_home(query, group))
+			return group;
 	return NULL;
 }
 
@@ -346,8 +347,7 @@
 	any.flow = &flow;
 	if (home && home->load.measured_ns == 0)
 		measure_if_due(&any, home, home);
-	CAROB_UPSTREAM_GROUPS_OF(group, query->table, flow.service)
-	{
+	CAROB_UPSTREAM_GROUPS_OF (group, query->table, flow.service) {
 		if (group->load.measured_ns == 0)
 			measure_if_due(&any, group, home);
 		if (!oldest ||
@@ -365,9 +365,9 @@
 {
 	int best = CAROB_PLACEMENT_UNUSABLE;
 
-	CAROB_UPSTREAM_GROUPS_OF(group, query->table, query->flow->service)
-	if (group->load.rank < best)
-		best = group->load.rank;
+	CAROB_UPSTREAM_GROUPS_OF (group, query->table, query->flow->service)
+		if (group->load.rank < best)
+			best = group->load.rank;
 	return best;
 }
 
@@ -404,13 +404,12 @@
 	if (home_is_open && except != CAROB_UPSTREAM_NONE &&
 	    query->table->items[except].zone != home->zone)
 		return home;
-	CAROB_UPSTREAM_GROUPS_OF(group, query->table, query->flow->service)
-	if (group != home && is_open(query, group, rank))
-		sum += share_of(group, home_is_open);
+	CAROB_UPSTREAM_GROUPS_OF (group, query->table, query->flow->service)
+		if (group != home && is_open(query, group, rank))
+			sum += share_of(group, home_is_open);
 	if (!home_is_open)
 		point *= sum;
-	CAROB_UPSTREAM_GROUPS_OF(group, query->table, query->flow->service)
-	{
+	CAROB_UPSTREAM_GROUPS_OF (group, query->table, query->flow->service) {
 		if (group == home || !is_open(query, group, rank))
 			continue;
 		chosen = group;
@@ -437,8 +436,10 @@
 
 	/* The new request counts, so that of two idle upstreams the late one
 	 * costs more. */
-	candidate.cost = (1 + expected_load_of(query, group, upstream)) /
-			 carob_placement_slots(upstream, query->flow) * factor;
+	candidate.cost =
+		(1 + expected_load_of(query, group, upstream)) /
+		carob_upstream_usable_slots(upstream, query->flow->now_ns) *
+		factor;
 	return candidate;
 }
 
@@ -505,8 +506,7 @@
 {
 	candidate_t best = no_candidate;
 
-	CAROB_UPSTREAM_GROUPS_OF(group, query->table, query->flow->service)
-	{
+	CAROB_UPSTREAM_GROUPS_OF (group, query->table, query->flow->service) {
 		for (uint32_t i = 0; i < group->count; i++) {
 			candidate_t candidate =
 				make_candidate(query, group, group->members[i]);
--- a/src/flow/load/load_sharing_reader.c
+++ b/src/flow/load/load_sharing_reader.c
@@ -10,6 +10,9 @@
 #define QUIET_MS_MIN	      500
 /* Longest wait; where instances start all the time there is no quiet. */
 #define WARM_UP_MS_MAX 10000
+/* A shorter interval is not divided: sums of zones would use up more of the
+ * budget than they gain. */
+#define DIVIDED_MS_MIN (2 * CAROB_LOAD_INTERVAL_MS_MIN)
 
 static bool has_passed(const carob_load_sharing_t *sharing, uint64_t since_ns,
 		       uint64_t ms)
@@ -36,10 +39,6 @@
 	return true;
 }
 
-/* A shorter interval is not divided: sums of zones would use up more of the
- * budget than they gain. */
-#define DIVIDED_MS_MIN (2 * CAROB_LOAD_INTERVAL_MS_MIN)
-
 uint32_t carob_load_zone_ms(uint32_t interval_ms)
 {
 	return interval_ms < DIVIDED_MS_MIN ? interval_ms : interval_ms / 2;
--- a/src/flow/steering/steering.c
+++ b/src/flow/steering/steering.c
@@ -16,8 +16,6 @@
  * as long to arrive, so an attempt that follows sooner is that of another user
  * with the address of the caller. */
 #define CONNECT_QUANTILE 0.1
-/* Callers send two copies of a SYN. */
-#define SYN_COPY_LAST 2
 
 static const struct {
 	carob_steer_verdict_t verdict;
@@ -82,8 +80,9 @@
 	if (!carob_pace_withholds(steering->upstreams, service,
 				  carob_steering_now_ns(steering)))
 		return CAROB_STEER_NO_UPSTREAM;
-	return packet->syn_copy < SYN_COPY_LAST ? CAROB_STEER_PACE_DEFERRED
-						: CAROB_STEER_PACED;
+	return packet->syn_copy < CAROB_SYN_COPY_LAST
+		       ? CAROB_STEER_PACE_DEFERRED
+		       : CAROB_STEER_PACED;
 }
 
 static carob_admission_verdict_t
--- a/src/flow/tables/upstream_table.c
+++ b/src/flow/tables/upstream_table.c
@@ -226,9 +226,7 @@
 	return 0;
 }
 
-/* Discards the failure detector's evidence, which was about the previous
- * incarnation of the upstream. */
-static void discard_evidence(carob_upstream_t *upstream)
+void carob_upstream_discard_evidence(carob_upstream_t *upstream)
 {
 	upstream->unanswered_syns = 0;
 	upstream->refused_syns = 0;
@@ -294,7 +292,7 @@
 		       const carob_upstream_entry_t *entry, uint64_t now_ns)
 {
 	if (upstream->started_ms != entry->started_ms)
-		discard_evidence(upstream);
+		carob_upstream_discard_evidence(upstream);
 	upstream->number = entry->number;
 	upstream->tag = carob_upstream_tag(entry->number);
 	upstream->endpoint = entry->endpoint;
--- a/tests/flow/upstream_table_test.c
+++ b/tests/flow/upstream_table_test.c
@@ -220,8 +220,7 @@
 {
 	size_t count = 0;
 
-	CAROB_UPSTREAM_GROUPS_OF(group, table, service)
-	{
+	CAROB_UPSTREAM_GROUPS_OF (group, table, service) {
 		uint64_t last = 0;
 
 		for (uint32_t i = 0; i < group->count; i++) {
