tests/flow: upstreams of a zone that is put back start slowly

Guards against a flood of new flows after an evacuation; it fails if the table does not count the change.

--- a/tests/flow/pace_test.c
+++ b/tests/flow/pace_test.c
@@ -1,3 +1,4 @@
+#include "flow/flow_fixture.h"
 #include "flow/pace_sim.h"
 
 #include "carobtrail/log.h"
@@ -483,6 +484,39 @@
 	}
 }
 
+/* A zone is evacuated and put back while no upstream is paced: its upstreams
+ * have lost their flows and must not be flooded. */
+static void test_restored_zone(void)
+{
+	static const fixture_upstream_t rows[] = {
+		UPSTREAM("ua", 1, "web", "a", 2),
+		UPSTREAM("ub", 2, "web", "b", 2),
+	};
+	carob_upstream_table_t table = {0};
+	carob_route_table_t routes = {0};
+	carob_pace_t pace = {0};
+	uint64_t now = FIXTURE_START;
+	size_t count;
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(rows); i++)
+		fixture_put(&table, &rows[i], i + 1);
+	carob_pace_configure(&pace, &pace_on);
+	carob_pace_update(&pace, &table, &routes, NULL, now);
+	CU_ASSERT_FALSE(table.items[1].pace.ramping);
+	for (int evacuated = 1; evacuated >= 0; evacuated--) {
+		CU_ASSERT_EQUAL(carob_upstream_table_set_evacuated(
+					&count, &table, CAROB_STR("b"),
+					evacuated),
+				0);
+		now += S;
+		carob_pace_update(&pace, &table, &routes, NULL, now);
+	}
+	CU_ASSERT_TRUE(table.items[1].pace.ramping);
+	CU_ASSERT_FALSE(table.items[0].pace.ramping);
+	carob_pace_dispose(&pace);
+	carob_upstream_table_dispose(&table);
+}
+
 int main(void)
 {
 	static const test_case_t cases[] = {
@@ -492,6 +526,7 @@
 		{"number of instances", test_number_of_instances},
 		{"only one upstream", test_only_upstream},
 		{"steps of the share", test_votes},
+		{"a zone that is put back", test_restored_zone},
 	};
 
 	carob_log_configure("test", NULL, CAROB_LOG_ERROR, NULL);
