steering: requests whose callers fell silent are no load for admission control

Cause: after a moment without instances, the first one that is back gets the packets of all zones. When the others are back, the routers give them their part of its flows, and no packet here ever ends those requests.

Change: a caller that waits sends its SYN or request again after 200 ms, then at doubled intervals. When that is overdue, the request no longer counts for admission control (also of shared load). It still counts for placement: of an upstream that does not answer it is the first sign.

Ruled out: log lines that seemed to show instances which read nothing for 300 ms; the log is bounded to 200 lines a second.

--- a/include/carobtrail/flow_table.h
+++ b/include/carobtrail/flow_table.h
@@ -30,7 +30,9 @@
 	uint8_t phase;	  /* carob_flow_phase_t */
 	uint8_t pending;  /* a request is in progress */
 	uint8_t repeated; /* the request in progress was retransmitted */
-	uint8_t reserved;
+	/** The caller of the request in progress should have repeated it by
+	 * now. It goes on through another instance, or it has ended. */
+	uint8_t overdue;
 	carob_upstream_index_t upstream;
 	uint32_t first_seq; /* sequence number of the caller's SYN */
 	uint32_t last_ack;  /* the caller's highest acknowledgement */
@@ -85,6 +87,10 @@
 void carob_flow_table_sweep(carob_flow_table_t *table, size_t buckets,
 			    carob_flow_visitor_t *visitor);
 
+/** The same with a place of its own, which is 0 at first. */
+void carob_flow_table_sweep_at(carob_flow_table_t *table, size_t *at,
+			       size_t buckets, carob_flow_visitor_t *visitor);
+
 /** Releases the flows and zeroes the table. */
 void carob_flow_table_dispose(carob_flow_table_t *table);
 
--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -103,8 +103,10 @@
 	 * platform was reachable; 0: it was not, or that is not certain. */
 	uint64_t removed_ns;
 
-	uint32_t open_flows;  /* open flows of this instance */
-	uint32_t pending;     /* open flows with a request in progress */
+	uint32_t open_flows; /* open flows of this instance */
+	uint32_t pending;    /* open flows with a request in progress */
+	/** Those of them whose callers have fallen silent; see flow_table.h. */
+	uint32_t overdue;
 	uint64_t answered_ns; /* time of a caller's last acknowledgement */
 	/** SYNs that callers have retransmitted since `answered_ns`. */
 	uint32_t unanswered_syns;
--- a/src/flow/decisions/admission.c
+++ b/src/flow/decisions/admission.c
@@ -38,7 +38,7 @@
 		 * are not counted either. */
 		if (upstream->evacuated)
 			continue;
-		load.pending += upstream->pending;
+		load.pending += upstream->pending - upstream->overdue;
 		if (!carob_upstream_accepts(upstream))
 			continue;
 		load.slots += upstream->slots;
--- a/src/flow/decisions/service_load.c
+++ b/src/flow/decisions/service_load.c
@@ -34,7 +34,7 @@
 		return;
 	load->slots += carob_upstream_usable_slots(upstream, now_ns);
 	load->zone_set |= 1ULL << (upstream->zone % ZONES_MAX);
-	load->pending += upstream->pending;
+	load->pending += upstream->pending - upstream->overdue;
 	if (upstream->open_flows > upstream->pending)
 		load->idle += upstream->open_flows - upstream->pending;
 	load->others_sum += upstream->others_load;
--- a/src/flow/steering/steering.c
+++ b/src/flow/steering/steering.c
@@ -158,6 +158,7 @@
 	carob_upstream_index_t to;
 	carob_flow_t *flow;
 
+	carob_steering_check_overdue(steering);
 	if (steering->load_view)
 		except = find_refused_attempt(steering, packet);
 	to = carob_steering_place(steering, route, packet, except);
@@ -209,7 +210,7 @@
 		set_decision(out, steering, CAROB_STEER_EVACUATED_DROPPED);
 		return;
 	}
-	flow->last_packet_ms = now;
+	carob_steering_touch_flow(steering, flow);
 	to = carob_steering_place(steering, route, packet, flow->upstream);
 	if (to != CAROB_UPSTREAM_NONE) {
 		out->passed_over = &steering->upstreams->items[flow->upstream];
@@ -248,7 +249,7 @@
 		forward(out, steering, CAROB_STEER_REPEATED, flow->upstream);
 		return;
 	}
-	flow->last_packet_ms = now;
+	carob_steering_touch_flow(steering, flow);
 	if (!carob_steering_is_evidence(steering, packet)) {
 		forward(out, steering, CAROB_STEER_REPEATED, flow->upstream);
 		return;
--- a/src/flow/steering/steering_flow.c
+++ b/src/flow/steering/steering_flow.c
@@ -39,6 +39,28 @@
 					late);
 }
 
+void carob_steering_set_overdue(const carob_steering_t *steering,
+				carob_flow_t *flow, bool overdue)
+{
+	carob_upstream_t *upstream;
+
+	if (flow->overdue == overdue)
+		return;
+	upstream = &steering->upstreams->items[flow->upstream];
+	flow->overdue = overdue;
+	if (overdue)
+		upstream->overdue++;
+	else
+		upstream->overdue--;
+}
+
+void carob_steering_touch_flow(const carob_steering_t *steering,
+			       carob_flow_t *flow)
+{
+	flow->last_packet_ms = carob_steering_now_ms(steering);
+	carob_steering_set_overdue(steering, flow, false);
+}
+
 void carob_steering_set_pending(carob_steering_t *steering, carob_flow_t *flow,
 				bool pending)
 {
@@ -47,6 +69,7 @@
 
 	if (flow->pending == pending)
 		return;
+	carob_steering_set_overdue(steering, flow, false);
 	meter_load(steering, flow->upstream);
 	flow->pending = pending;
 	if (pending)
@@ -293,10 +316,10 @@
 void carob_steering_track_packet(carob_steering_t *steering, carob_flow_t *flow,
 				 const carob_flow_packet_t *packet)
 {
-	uint32_t now = carob_steering_now_ms(steering);
-	uint32_t since_last_ms = now - flow->last_packet_ms;
+	uint32_t since_last_ms =
+		carob_steering_now_ms(steering) - flow->last_packet_ms;
 
-	flow->last_packet_ms = now;
+	carob_steering_touch_flow(steering, flow);
 	if (packet->rst) {
 		carob_steering_remove_flow(steering, flow);
 		return;
--- a/src/flow/steering/steering_priv.h
+++ b/src/flow/steering/steering_priv.h
@@ -22,6 +22,8 @@
 	bool reset_gone;
 	bool reads_late;	  /* the last packet was no evidence */
 	uint64_t gone_checked_ns; /* time of the last check for gone upstreams */
+	uint64_t overdue_checked_ns; /* the same for overdue requests */
+	size_t overdue_at;	     /* bucket at which the next one begins */
 	carob_flow_table_t flows;
 	carob_admission_t admission;
 	carob_attempt_table_t attempts;
@@ -92,6 +94,19 @@
 void carob_steering_set_pending(carob_steering_t *steering, carob_flow_t *flow,
 				bool pending);
 
+/**
+ * Sets whether the caller of the request in progress has fallen silent. Such a
+ * request does not count for admission control: the routers may have given its
+ * flow to another instance, which counts it, and then no packet here ever ends
+ * it. It does count for placement, since the upstream may not be answering.
+ */
+void carob_steering_set_overdue(const carob_steering_t *steering,
+				carob_flow_t *flow, bool overdue);
+
+/** Records that a packet of the flow has arrived. */
+void carob_steering_touch_flow(const carob_steering_t *steering,
+			       carob_flow_t *flow);
+
 /** Counts a response for reports of load, or a SYN or request that the caller
  * repeated without one as late. */
 void carob_steering_meter_answer(const carob_steering_t *steering,
@@ -148,4 +163,10 @@
 bool carob_steering_expire_flow(carob_flow_visitor_t *visitor,
 				carob_flow_t *flow);
 
+/**
+ * Looks for overdue requests in a part of the flow table; does nothing if it
+ * has done so a moment ago.
+ */
+void carob_steering_check_overdue(carob_steering_t *steering);
+
 #endif
--- a/src/flow/steering/steering_sweep.c
+++ b/src/flow/steering/steering_sweep.c
@@ -14,6 +14,18 @@
  * for longer, it has given up or received its response, and the request no
  * longer counts as load. */
 #define PENDING_MS_MAX 2000
+/* A caller that waits sends its SYN or request again: first after 200 ms, then
+ * at doubled intervals of at most 1.6 s. Each interval is as long as the wait
+ * before it and 200 ms. */
+#define RETRANSMIT_MS	  200
+#define RETRANSMIT_MS_MAX 1600
+/* How much later than that a copy is read at most, as long as packets are not
+ * delayed in a queue. */
+#define RETRANSMIT_SLACK_MS 100
+/* Interval of the checks for overdue requests, and how many buckets of the
+ * table each of them covers at most. */
+#define OVERDUE_CHECK_NS	  (50 * CAROB_NS_PER_MS)
+#define OVERDUE_CHECK_BUCKETS_MAX 16384
 /* Maximum idle time of an open flow if the configuration has none. */
 #define IDLE_MS_DEFAULT 60000
 /* Number of calls of the sweep that cover the whole table. */
@@ -150,6 +162,17 @@
 	return configured ? configured : IDLE_MS_DEFAULT;
 }
 
+/* Returns whether the caller of a request in progress would have sent it again
+ * by now. */
+static bool is_copy_overdue(const carob_flow_t *flow, uint32_t now_ms)
+{
+	uint32_t due = flow->last_packet_ms - flow->request_ms + RETRANSMIT_MS;
+
+	if (due > RETRANSMIT_MS_MAX)
+		due = RETRANSMIT_MS_MAX;
+	return now_ms - flow->last_packet_ms > due + RETRANSMIT_SLACK_MS;
+}
+
 bool carob_steering_expire_flow(carob_flow_visitor_t *visitor,
 				carob_flow_t *flow)
 {
@@ -164,6 +187,38 @@
 	return true;
 }
 
+typedef struct overdue_visitor {
+	carob_flow_visitor_t visitor;
+	const carob_steering_t *steering;
+} overdue_visitor_t;
+
+static bool mark_overdue(carob_flow_visitor_t *visitor, carob_flow_t *flow)
+{
+	const carob_steering_t *steering =
+		((overdue_visitor_t *)visitor)->steering;
+
+	if (flow->pending &&
+	    is_copy_overdue(flow, carob_steering_now_ms(steering)))
+		carob_steering_set_overdue(steering, flow, true);
+	return false;
+}
+
+void carob_steering_check_overdue(carob_steering_t *steering)
+{
+	overdue_visitor_t visitor = {.visitor.visit = mark_overdue,
+				     .steering = steering};
+	uint64_t now = carob_steering_now_ns(steering);
+	size_t buckets = steering->flows.cap;
+
+	if (now - steering->overdue_checked_ns < OVERDUE_CHECK_NS)
+		return;
+	steering->overdue_checked_ns = now;
+	if (buckets > OVERDUE_CHECK_BUCKETS_MAX)
+		buckets = OVERDUE_CHECK_BUCKETS_MAX;
+	carob_flow_table_sweep_at(&steering->flows, &steering->overdue_at,
+				  buckets, &visitor.visitor);
+}
+
 void carob_steering_sweep(carob_steering_t *steering)
 {
 	size_t buckets = steering->flows.cap / SWEEP_PARTS;
--- a/src/flow/tables/flow_table.c
+++ b/src/flow/tables/flow_table.c
@@ -167,20 +167,26 @@
 
 void carob_flow_table_sweep(carob_flow_table_t *table, size_t buckets,
 			    carob_flow_visitor_t *visitor)
+{
+	carob_flow_table_sweep_at(table, &table->sweep_at, buckets, visitor);
+}
+
+void carob_flow_table_sweep_at(carob_flow_table_t *table, size_t *at,
+			       size_t buckets, carob_flow_visitor_t *visitor)
 {
 	if (buckets > table->cap)
 		buckets = table->cap;
 	for (size_t i = 0; i < buckets; i++) {
 		carob_flow_t *flow;
 
-		if (table->sweep_at >= table->cap)
-			table->sweep_at = 0;
-		flow = &table->items[table->sweep_at];
+		if (*at >= table->cap)
+			*at = 0;
+		flow = &table->items[*at];
 		if (flow->phase != CAROB_FLOW_FREE &&
 		    visitor->visit(visitor, flow))
 			carob_flow_table_remove(table, flow);
 		else
-			table->sweep_at++;
+			++*at;
 	}
 }
 
--- a/tests/flow/fleet_model.h
+++ b/tests/flow/fleet_model.h
@@ -100,7 +100,7 @@
 typedef enum fleet_phase {
 	FLEET_PHASE_SYN,      /* sends a SYN or a copy of it */
 	FLEET_PHASE_REQUEST,  /* the flow opens and the request is sent */
-	FLEET_PHASE_RESPONSE, /* the response arrives */
+	FLEET_PHASE_RESPONSE, /* it arrives, or the request is sent again */
 } fleet_phase_t;
 
 typedef struct fleet_caller {
@@ -117,6 +117,9 @@
 	uint32_t host;
 	uint64_t first_ns; /* start of the first attempt */
 	uint64_t try_ns;   /* start of this attempt */
+	uint64_t request_ns;
+	uint32_t request_copies; /* how often it was sent again */
+	uint64_t due_ns;	 /* time of the response */
 	bool shed;
 } fleet_caller_t;
 
@@ -297,6 +300,22 @@
 	carob_steering_packet(&result, caller->instance->steering, &packet);
 }
 
+/* Waits for the response, or until the request is sent again. */
+static void fleet_await_response(fleet_caller_t *caller)
+{
+	/* Since the request was first sent. */
+	static const uint64_t copy_ms[] = {200, 600, 1400, 3000, 4600};
+	uint64_t next = caller->due_ns;
+
+	if (caller->request_copies < CAROB_ARRAY_SIZE(copy_ms) &&
+	    caller->request_ns +
+			    copy_ms[caller->request_copies] * CAROB_NS_PER_MS <
+		    next)
+		next = caller->request_ns +
+		       copy_ms[caller->request_copies] * CAROB_NS_PER_MS;
+	fleet_schedule(caller, FLEET_PHASE_RESPONSE, next);
+}
+
 static void fleet_send_request(fleet_caller_t *caller)
 {
 	fleet_t *fleet = caller->fleet;
@@ -314,8 +333,10 @@
 	caller->shed = due == 0;
 	if (!caller->shed && fleet_is_counted(caller))
 		fleet->busy_ns += work;
-	fleet_schedule(caller, FLEET_PHASE_RESPONSE,
-		       caller->shed ? now + CAROB_NS_PER_MS : due);
+	caller->request_ns = now;
+	caller->request_copies = 0;
+	caller->due_ns = caller->shed ? now + CAROB_NS_PER_MS : due;
+	fleet_await_response(caller);
 }
 
 static void fleet_receive_response(fleet_caller_t *caller)
@@ -324,6 +345,12 @@
 		       caller->first_ns) /
 		      CAROB_NS_PER_MS;
 
+	if (carob_clock_now_ns(&caller->fleet->clock.clock) < caller->due_ns) {
+		fleet_send_data(caller, 0, 100, 5000, false);
+		caller->request_copies++;
+		fleet_await_response(caller);
+		return;
+	}
 	fleet_send_data(caller, 100, 0, 6000, true);
 	if (caller->shed) {
 		caller->fleet->result.shed += fleet_is_counted(caller);
--- a/tests/flow/outage_wave_test.c
+++ b/tests/flow/outage_wave_test.c
@@ -62,7 +62,7 @@
 	PHASE_SYN,	/* sends a SYN or a copy of it */
 	PHASE_ARRIVAL,	/* the SYN reaches an instance */
 	PHASE_REQUEST,	/* the flow opens and the request is sent */
-	PHASE_RESPONSE, /* the response arrives */
+	PHASE_RESPONSE, /* it arrives, or the request is sent again */
 } caller_phase_t;
 
 typedef struct caller {
@@ -76,6 +76,9 @@
 	uint32_t host;
 	uint64_t first_ns; /* start of the first try */
 	uint64_t try_ns;   /* start of this try */
+	uint64_t request_ns;
+	uint32_t request_copies; /* how often it was sent again */
+	uint64_t due_ns;	 /* time of the response */
 	bool shed;
 } caller_t;
 
@@ -152,18 +155,30 @@
 	free(caller);
 }
 
-/* Chooses an instance as routers do: at random, among those that are back. */
-static instance_t *choose_instance(simulation_t *simulation)
+/* Chooses an instance as routers do: by a hash, among those that are back. When
+ * another one is back, it gets its part of all flows, also of those that are
+ * open or that are being opened. */
+static instance_t *choose_instance(const caller_t *caller)
 {
+	simulation_t *simulation = caller->simulation;
 	uint64_t now = now_ns(simulation);
 	uint32_t back = INSTANCES;
+	uint32_t best = 0;
+	uint64_t most = 0;
 
 	if (simulation->away_until_ns > 0 && now >= simulation->away_until_ns)
 		back = 1 + (uint32_t)((now - simulation->away_until_ns) /
 				      (STAGGER_MS * MS));
-	if (back > INSTANCES)
-		back = INSTANCES;
-	return &simulation->instances[carob_rng_below(&simulation->rng, back)];
+	for (uint32_t i = 0; i < back && i < INSTANCES; i++) {
+		uint64_t hash =
+			carob_hash_u64(((uint64_t)caller->port << 8) + i);
+
+		if (hash < most)
+			continue;
+		most = hash;
+		best = i;
+	}
+	return &simulation->instances[best];
 }
 
 static void begin_try(caller_t *caller)
@@ -213,7 +228,7 @@
 		await_copy(caller);
 		return;
 	}
-	caller->instance = choose_instance(simulation);
+	caller->instance = choose_instance(caller);
 	schedule(caller, PHASE_ARRIVAL,
 		 read_time_ns(simulation, caller->instance));
 }
@@ -253,6 +268,28 @@
 	}
 }
 
+/* Waits for the response, or until the request is sent again. */
+static void await_response(caller_t *caller)
+{
+	/* Since the request was first sent. */
+	static const uint64_t copy_ms[] = {200, 600, 1400};
+	uint64_t next = caller->due_ns;
+
+	if (caller->request_copies < CAROB_ARRAY_SIZE(copy_ms) &&
+	    caller->request_ns + copy_ms[caller->request_copies] * MS < next)
+		next = caller->request_ns +
+		       copy_ms[caller->request_copies] * MS;
+	schedule(caller, PHASE_RESPONSE, next);
+}
+
+static void send_data(caller_t *caller, const carob_flow_packet_t *packet)
+{
+	carob_steer_result_t result;
+
+	carob_steering_packet(&result, choose_instance(caller)->steering,
+			      packet);
+}
+
 static void send_request(caller_t *caller)
 {
 	simulation_t *simulation = caller->simulation;
@@ -260,27 +297,35 @@
 		(WORK_MS / 2 + carob_rng_below(&simulation->rng, WORK_MS)) * MS;
 	carob_flow_packet_t packet =
 		fixture_data(caller->port, caller->host + 1, 0, 100, 5000);
-	carob_steer_result_t result;
 	uint64_t due;
 
-	carob_steering_packet(&result, caller->instance->steering, &packet);
+	send_data(caller, &packet);
 	due = host_model_enter(&simulation->hosts[caller->host], SLOTS, QUEUE,
 			       now_ns(simulation), work);
 	caller->shed = due == 0;
-	schedule(caller, PHASE_RESPONSE,
-		 caller->shed ? now_ns(simulation) + MS : due);
+	caller->request_ns = now_ns(simulation);
+	caller->request_copies = 0;
+	caller->due_ns = caller->shed ? now_ns(simulation) + MS : due;
+	await_response(caller);
 }
 
 static void receive_response(caller_t *caller)
 {
 	simulation_t *simulation = caller->simulation;
 	uint64_t waited = now_ns(simulation) - caller->first_ns;
+	carob_flow_packet_t again =
+		fixture_data(caller->port, caller->host + 1, 0, 100, 5000);
 	carob_flow_packet_t end =
 		fixture_data(caller->port, caller->host + 1, 100, 0, 6000);
-	carob_steer_result_t result;
 
+	if (now_ns(simulation) < caller->due_ns) {
+		send_data(caller, &again);
+		caller->request_copies++;
+		await_response(caller);
+		return;
+	}
 	end.fin = true;
-	carob_steering_packet(&result, caller->instance->steering, &end);
+	send_data(caller, &end);
 	if (caller->shed) {
 		begin_try(caller);
 		return;
