admission: callers that wait since before a start are deferred, late flows yield

Flows that are late already take the room of those that could be in time.

Change, first: within the timeout of a route from the first flow of an instance, a SYN above the limit is deferred as long as the caller sends copies of it. Callers from before the start have given up by then. The budget is used up meanwhile, so that an overload that lasts is refused afterwards. The timeout comes from the configuration. Second: a copy of a SYN that is older than the target of its route is accepted up to 0.6 of the limit.

--- a/include/carobtrail/admission.h
+++ b/include/carobtrail/admission.h
@@ -20,7 +20,9 @@
  * when the last copy comes. Each service has a budget of such deferrals, which
  * is refilled by a fraction of the flows that are accepted while the service is
  * far from its limit. A lasting overload uses it up, and is refused from then
- * on.
+ * on. The budget is not needed by an instance that has just started, until the
+ * timeout of the route has passed: nobody may have served the callers before,
+ * who go away by then.
  */
 #ifndef CAROBTRAIL_ADMISSION_H
 #define CAROBTRAIL_ADMISSION_H
@@ -55,6 +57,8 @@
 	carob_name_id_t home_zone;
 	bool urgent; /* its route is not of the lowest priority configured */
 	uint8_t syn_copy; /* how often the caller has sent the SYN before */
+	/** Callers from before the start of this instance may still wait. */
+	bool after_start;
 	const carob_load_view_t *view; /* NULL: load is not shared */
 	uint64_t now_ns;
 	/** The members below are for shared_admission.h only. */
--- a/include/carobtrail/catalog.h
+++ b/include/carobtrail/catalog.h
@@ -44,6 +44,7 @@
 	carob_endpoint_t endpoint;
 	bool idempotent;
 	uint32_t target_ms;
+	uint32_t timeout_ms;
 	uint32_t priority;
 	size_t share_count;
 	carob_catalog_share_t shares[CAROB_ROUTE_SHARES_MAX];
--- a/include/carobtrail/route_table.h
+++ b/include/carobtrail/route_table.h
@@ -23,7 +23,9 @@
 	carob_endpoint_t endpoint;
 	bool idempotent;    /* callers may safely retry its requests */
 	uint32_t target_ms; /* target for the response time; 0: none */
-	uint32_t priority;  /* 0 is the highest priority */
+	/** How long callers wait for a response, tries included; 0: unknown. */
+	uint32_t timeout_ms;
+	uint32_t priority; /* 0 is the highest priority */
 	size_t share_count;
 	carob_route_share_t shares[CAROB_ROUTE_SHARES_MAX];
 } carob_route_t;
--- a/src/flow/decisions/admission.c
+++ b/src/flow/decisions/admission.c
@@ -12,6 +12,10 @@
 #define LIMIT_PER_HOME_SLOT_MIN 0.5
 /* Factor by which the limit for urgent flows is higher. */
 #define URGENT_FACTOR 3.0
+/* Part of the limit up to which flows are accepted whose response can't be in
+ * time any more. The rest is left to those that can: otherwise the callers that
+ * wait since an outage make the new ones late too. */
+#define LATE_FACTOR 0.6
 /* Maximum of the budget of deferrals, per slot in the instance's own zone: what
  * a slot can serve until the last copy of a SYN, 600 ms, at 25 ms a request. */
 #define DEFERRALS_PER_HOME_SLOT 24
@@ -100,6 +104,17 @@
 	return true;
 }
 
+static bool is_late(const carob_admission_query_t *query)
+{
+	/* Age of a copy of a SYN. */
+	static const uint32_t sent_ms[CAROB_SYN_COPY_LAST + 1] = {0, 200, 600};
+	uint8_t copy = query->syn_copy < CAROB_SYN_COPY_LAST
+			       ? query->syn_copy
+			       : CAROB_SYN_COPY_LAST;
+
+	return query->target_ms > 0 && sent_ms[copy] >= query->target_ms;
+}
+
 void carob_admission_measure(carob_admission_load_t *out,
 			     carob_admission_t *admission,
 			     const carob_upstream_table_t *table,
@@ -113,6 +128,8 @@
 	out->pending = load.pending;
 	out->limit = compute_limit(&admission->services[query->service].limiter,
 				   &load, query->urgent);
+	if (is_late(query))
+		out->limit = (uint32_t)(LATE_FACTOR * out->limit);
 	out->home_slots = load.home_slots;
 }
 
@@ -141,9 +158,11 @@
 	}
 	fill_budget(service, max, 0);
 	/* After the last copy, a deferral would only delay the refusal. */
-	if (query->syn_copy < CAROB_SYN_COPY_LAST && take_deferral(service))
-		return CAROB_ADMISSION_DEFER;
-	return CAROB_ADMISSION_REFUSE;
+	if (query->syn_copy >= CAROB_SYN_COPY_LAST)
+		return CAROB_ADMISSION_REFUSE;
+	return take_deferral(service) || query->after_start
+		       ? CAROB_ADMISSION_DEFER
+		       : CAROB_ADMISSION_REFUSE;
 }
 
 void carob_admission_record_response(carob_admission_t *admission,
--- a/src/flow/sources/catalog.c
+++ b/src/flow/sources/catalog.c
@@ -168,6 +168,7 @@
 	out->endpoint = route->endpoint;
 	out->idempotent = route->idempotent;
 	out->target_ms = route->target_ms;
+	out->timeout_ms = route->timeout_ms;
 	out->priority = route->priority;
 	out->share_count = route->share_count;
 	for (size_t i = 0; !error && i < route->share_count; i++) {
--- a/src/flow/steering/steering.c
+++ b/src/flow/steering/steering.c
@@ -69,6 +69,16 @@
 	return carob_placement_choose(steering->upstreams, &query);
 }
 
+/* Returns whether callers of a route who were there before this instance may
+ * still be waiting. They all come at once if no instance was there. The time
+ * until the catalogue is read, in which packets wait, does not count. */
+static bool is_after_start(const carob_steering_t *steering,
+			   const carob_route_t *route)
+{
+	return carob_steering_now_ns(steering) - steering->serving_ns <
+	       route->timeout_ms * CAROB_NS_PER_MS;
+}
+
 carob_steer_reason_t
 carob_steering_reason_unplaced(const carob_steering_t *steering,
 			       const carob_route_t *route,
@@ -96,6 +106,7 @@
 		.urgent = route->priority <
 			  steering->routes->config.least_priority,
 		.syn_copy = packet->syn_copy,
+		.after_start = is_after_start(steering, route),
 		.view = steering->load_view,
 		.now_ns = carob_steering_now_ns(steering),
 		.caller_ip = packet->caller.ip,
@@ -295,6 +306,8 @@
 		set_decision(out, steering, CAROB_STEER_NO_ROUTE);
 		return;
 	}
+	if (steering->serving_ns == 0)
+		steering->serving_ns = carob_steering_now_ns(steering);
 	carob_pace_update(&steering->pace, steering->upstreams,
 			  steering->routes, steering->load_view,
 			  carob_steering_now_ns(steering));
--- a/src/flow/steering/steering_priv.h
+++ b/src/flow/steering/steering_priv.h
@@ -19,6 +19,7 @@
 	carob_name_id_t home_zone;
 	const carob_link_meter_t *link;	    /* NULL: none */
 	const carob_load_view_t *load_view; /* NULL: load is not shared */
+	uint64_t serving_ns; /* time of the first SYN; 0: none yet */
 	bool reset_gone;
 	bool reads_late;	  /* the last packet was no evidence */
 	uint64_t gone_checked_ns; /* time of the last check for gone upstreams */
