--- a/tests/flow/outage_target_test.c
+++ b/tests/flow/outage_target_test.c
@@ -17,13 +17,13 @@
 	double gap_ms = service_ms / scenario->load;
 	double back_ms = AWAY_FROM_MS + scenario->away_ms;
 	double free_ms = back_ms;
-	uint32_t callers = 0;
+	uint32_t callers = (uint32_t)(SIMULATED_MS / gap_ms);
 	uint32_t unserved = 0;
 
-	for (double from_ms = 0; from_ms < SIMULATED_MS; from_ms += gap_ms) {
+	for (uint32_t caller = 0; caller < callers; caller++) {
+		double from_ms = caller * gap_ms;
 		double at_ms = from_ms;
 
-		callers++;
 		if (from_ms < AWAY_FROM_MS)
 			continue;
 		for (size_t i = 0;
