steering: responses much shorter than usual count as failed

A request that ends with an error is answered after a few milliseconds, so a failing upstream looked idle and fast, and drew a little more than its part. An instance sees no response, but how many bytes its caller acknowledges: an error has 180, a check 800, a feed 1,800 and a download 30,000.

Each instance learns the median length and its spread by route and service. A response below both half of the median and four spreads is counted as failed in the meter of its upstream, which the reports of shared load carry as late ones; placement already makes such upstreams cost more.

--- a/include/carobtrail/flow_table.h
+++ b/include/carobtrail/flow_table.h
@@ -27,12 +27,15 @@
 	uint32_t route_ip;
 	uint16_t caller_port;
 	uint16_t route_port;
-	uint8_t phase;	  /* carob_flow_phase_t */
-	uint8_t pending;  /* a request is in progress */
-	uint8_t repeated; /* the request in progress was retransmitted */
+	uint8_t phase;	      /* carob_flow_phase_t */
+	uint8_t pending : 1;  /* a request is in progress */
+	uint8_t repeated : 1; /* the request in progress was retransmitted */
 	/** The caller of the request in progress should have repeated it by
 	 * now. It goes on through another instance, or it has ended. */
-	uint8_t overdue;
+	uint8_t overdue : 1;
+	/** `response_bytes` counts the response to the last request. */
+	uint8_t measured : 1;
+	uint16_t response_bytes; /* acknowledged so far; at most UINT16_MAX */
 	carob_upstream_index_t upstream;
 	uint32_t first_seq; /* sequence number of the caller's SYN */
 	uint32_t last_ack;  /* the caller's highest acknowledgement */
--- a/include/carobtrail/load_meter.h
+++ b/include/carobtrail/load_meter.h
@@ -3,7 +3,7 @@
  * Measures the load that this instance puts on one upstream, for reports to the
  * other instances: the time average of the requests in progress, with a tenth
  * of a request for each idle open flow, and the share of responses that were
- * late or missing. The state stands with the upstream (`meter` in
+ * late, missing or failed. The state stands with the upstream (`meter` in
  * upstream_table.h).
  */
 #ifndef CAROBTRAIL_LOAD_METER_H
@@ -36,6 +36,15 @@
 		upstream->meter.late += 1.0F;
 }
 
+/** Marks a response that was counted in time as failed: as one that is missing.
+ */
+static inline void carob_load_meter_record_failure(carob_upstream_t *upstream)
+{
+	upstream->meter.late += 1.0F;
+	if (upstream->meter.late > upstream->meter.answered)
+		upstream->meter.late = upstream->meter.answered;
+}
+
 /**
  * Takes the measured load and begins the next period. What is below a step of
  * the result is kept for the next period, so that small loads are right in the
--- a/include/carobtrail/steering.h
+++ b/include/carobtrail/steering.h
@@ -80,8 +80,9 @@
 /** Counters of a steering. */
 typedef struct carob_steering_counters {
 	uint64_t reasons[CAROB_STEER_REASON_COUNT]; /* packets, by reason */
-	uint64_t repeated_data;	 /* data packets that callers retransmitted */
-	uint64_t not_remembered; /* flows that did not fit into the table */
+	uint64_t short_responses; /* much shorter than usual */
+	uint64_t repeated_data;	  /* data packets that callers retransmitted */
+	uint64_t not_remembered;  /* flows that did not fit into the table */
 	/** Time from a flow's first SYN to the caller's first other packet. */
 	carob_histogram_t connect_ms;
 	/** Time from a request until the caller acknowledges new data. */
--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -49,7 +49,7 @@
 	int64_t area;	     /* tenths of a request, times nanoseconds */
 	uint64_t updated_ns; /* `area` counts up to here */
 	float answered;	     /* responses, of which the old ones fade */
-	float late;	     /* of these, late or missing ones */
+	float late;	     /* of these, late, missing or failed ones */
 } carob_upstream_meter_t;
 /**
  * State of the slow start of an upstream; pace.h describes its use. Rates are
@@ -126,7 +126,8 @@
 
 	/** What other instances report of it; see load_view.h. */
 	float others_load; /* their requests in progress, a time average */
-	float others_late; /* share of their answers that were late or missing */
+	/** Share of their responses that were late, missing or failed. */
+	float others_late;
 	carob_upstream_meter_t meter; /* used only while load is shared */
 } carob_upstream_t;
 
--- a/src/flow/steering/steering_flow.c
+++ b/src/flow/steering/steering_flow.c
@@ -245,14 +245,42 @@
 			carob_steering_now_ns(steering));
 }
 
+void carob_steering_judge_response(carob_steering_t *steering,
+				   carob_flow_t *flow)
+{
+	carob_endpoint_t route = {flow->route_ip, flow->route_port};
+	carob_upstream_t *upstream =
+		&steering->upstreams->items[flow->upstream];
+
+	if (!flow->measured || flow->response_bytes == 0)
+		return;
+	flow->measured = false;
+	if (!carob_response_norms_add(&steering->norms, route,
+				      upstream->service, flow->response_bytes))
+		return;
+	steering->counters.short_responses++;
+	if (steering->load_view)
+		carob_load_meter_record_failure(upstream);
+}
+
+/* Adds what the caller has acknowledged to the length of the response. */
+static void measure_response(carob_flow_t *flow, uint32_t bytes)
+{
+	uint32_t sum = flow->response_bytes + bytes;
+
+	flow->response_bytes = sum < bytes || sum > UINT16_MAX ? UINT16_MAX
+							       : (uint16_t)sum;
+}
+
 static void track_response(carob_steering_t *steering, carob_flow_t *flow,
 			   const carob_flow_packet_t *packet)
 {
-	bool advanced = (int32_t)(packet->ack - flow->last_ack) > 0;
+	int32_t bytes = (int32_t)(packet->ack - flow->last_ack);
 
-	if (!packet->has_ack || !advanced)
+	if (!packet->has_ack || bytes <= 0)
 		return;
 	flow->last_ack = packet->ack;
+	measure_response(flow, (uint32_t)bytes);
 	if (!flow->pending) {
 		record_sign_of_life(steering, flow);
 		return;
@@ -307,8 +335,12 @@
 		return;
 	}
 	flow->last_seq = packet->seq;
-	if (!flow->pending)
+	if (!flow->pending) {
+		carob_steering_judge_response(steering, flow);
+		flow->measured = true;
+		flow->response_bytes = 0;
 		flow->request_ms = carob_steering_now_ms(steering);
+	}
 	flow->repeated = false;
 	carob_steering_set_pending(steering, flow, true);
 }
@@ -329,6 +361,7 @@
 	track_response(steering, flow, packet);
 	track_request(steering, flow, packet, since_last_ms);
 	if (packet->fin) {
+		carob_steering_judge_response(steering, flow);
 		carob_steering_unbind_flow(steering, flow);
 		flow->phase = CAROB_FLOW_CLOSING;
 	}
--- a/src/flow/steering/steering_priv.h
+++ b/src/flow/steering/steering_priv.h
@@ -8,6 +8,7 @@
 #define CAROB_FLOW_STEERING_STEERING_PRIV_H
 
 #include "carobtrail/attempt_table.h"
+#include "carobtrail/response_norms.h"
 #include "carobtrail/steering.h"
 
 struct carob_steering {
@@ -29,6 +30,7 @@
 	carob_admission_t admission;
 	carob_attempt_table_t attempts;
 	carob_pace_t pace;
+	carob_response_norms_t norms;
 	/** NULL: load is not shared. */
 	carob_shared_admission_t *shared_admission;
 	/** Upstream whose flows are to be reset, or CAROB_UPSTREAM_NONE. */
@@ -113,6 +115,13 @@
 void carob_steering_meter_answer(const carob_steering_t *steering,
 				 carob_upstream_index_t upstream, bool late);
 
+/**
+ * Judges the response to the last request by its length, once it has ended.
+ * Does nothing if there was none since.
+ */
+void carob_steering_judge_response(carob_steering_t *steering,
+				   carob_flow_t *flow);
+
 /**
  * Marks a flow as open at the caller's first packet after the SYN, which shows
  * that an upstream has answered. Does nothing for a reset.
--- a/src/flow/steering/steering_sweep.c
+++ b/src/flow/steering/steering_sweep.c
@@ -22,6 +22,9 @@
 /* How much later than that a copy is read at most, as long as packets are not
  * delayed in a queue. */
 #define RETRANSMIT_SLACK_MS 100
+/* Longest time between two acknowledgements of one response. Callers delay
+ * them by up to 40 ms. */
+#define RESPONSE_GAP_MS_MAX 100
 /* Interval of the checks for overdue requests, and how many buckets of the
  * table each of them covers at most. */
 #define OVERDUE_CHECK_NS	  (50 * CAROB_NS_PER_MS)
@@ -189,23 +192,25 @@
 
 typedef struct overdue_visitor {
 	carob_flow_visitor_t visitor;
-	const carob_steering_t *steering;
+	carob_steering_t *steering;
 } overdue_visitor_t;
 
-static bool mark_overdue(carob_flow_visitor_t *visitor, carob_flow_t *flow)
+/* Marks overdue requests, and judges responses that have ended. */
+static bool check_flow(carob_flow_visitor_t *visitor, carob_flow_t *flow)
 {
-	const carob_steering_t *steering =
-		((overdue_visitor_t *)visitor)->steering;
+	carob_steering_t *steering = ((overdue_visitor_t *)visitor)->steering;
+	uint32_t now = carob_steering_now_ms(steering);
 
-	if (flow->pending &&
-	    is_copy_overdue(flow, carob_steering_now_ms(steering)))
+	if (flow->pending && is_copy_overdue(flow, now))
 		carob_steering_set_overdue(steering, flow, true);
+	if (!flow->pending && now - flow->last_packet_ms > RESPONSE_GAP_MS_MAX)
+		carob_steering_judge_response(steering, flow);
 	return false;
 }
 
 void carob_steering_check_overdue(carob_steering_t *steering)
 {
-	overdue_visitor_t visitor = {.visitor.visit = mark_overdue,
+	overdue_visitor_t visitor = {.visitor.visit = check_flow,
 				     .steering = steering};
 	uint64_t now = carob_steering_now_ns(steering);
 	size_t buckets = steering->flows.cap;
