outlier detection: upstreams that fail more than others are ejected

A larger cost alone left an upstream that fails half of its requests a share of the new flows, and let checks, which may run only once, take the trials. Requests whose callers vanish, after a reset by the upstream, were no evidence.

An upstream whose share of late, missing or failed responses exceeds the lower quartile of its service and zone by 0.2 gets no new flows but trials: one in eight flows whose requests may be repeated. It returns when its share has fallen, or after 1 to 2 s without any response; at most half of a group is ejected. The evidence is that of all instances by their reports, otherwise the own meter, which fades by time now and also without shared load. A request whose caller neither repeats it nor ends its flow counts as missing.

Tried: a quartile of the whole service ejected overloaded zones (flow-shared-placement failed); one failure of one response as own evidence ejected well upstreams (flow-pace failed).

--- a/include/carobtrail/flow_table.h
+++ b/include/carobtrail/flow_table.h
@@ -33,6 +33,8 @@
 	/** The caller of the request in progress should have repeated it by
 	 * now. It goes on through another instance, or it has ended. */
 	uint8_t overdue : 1;
+	/** The request in progress was metered as one without a response. */
+	uint8_t missing : 1;
 	/** `response_bytes` counts the response to the last request. */
 	uint8_t measured : 1;
 	uint16_t response_bytes; /* acknowledged so far; at most UINT16_MAX */
--- a/include/carobtrail/load_meter.h
+++ b/include/carobtrail/load_meter.h
@@ -45,6 +45,17 @@
 		upstream->meter.late = upstream->meter.answered;
 }
 
+/** @return whether enough responses are remembered for their share of late ones
+ */
+bool carob_load_meter_is_known(const carob_upstream_t *upstream);
+
+/** Lets the responses fade that were counted before, by the time since the last
+ * call. */
+void carob_load_meter_fade(carob_upstream_t *upstream, uint64_t now_ns);
+
+/** Reduces what is remembered to that of `responses`, with the same share. */
+void carob_load_meter_limit(carob_upstream_t *upstream, float responses);
+
 /**
  * Takes the measured load and begins the next period. What is below a step of
  * the result is kept for the next period, so that small loads are right in the
--- a/include/carobtrail/log.h
+++ b/include/carobtrail/log.h
@@ -120,6 +120,10 @@
 	  "an upstream stopped responding: waiting flows are reset")           \
 	X(CAROB_EV_UPSTREAM_GONE, 5005, WARN,                                  \
 	  "upstreams are known to be gone: waiting flows are reset")           \
+	X(CAROB_EV_UPSTREAM_EJECTED, 5006, WARN,                               \
+	  "an upstream fails more requests than others and is ejected")        \
+	X(CAROB_EV_UPSTREAM_RETURNED, 5007, INFO,                              \
+	  "an ejected upstream gets new flows again")                          \
 	X(CAROB_EV_PROBES_DISTRUSTED, 5010, WARN,                              \
 	  "most probed upstreams are silent: failed probes are ignored")       \
 	X(CAROB_EV_UPSTREAM_PACED, 5020, INFO,                                 \
--- a/include/carobtrail/placement.h
+++ b/include/carobtrail/placement.h
@@ -14,6 +14,9 @@
  *   it has left SYNs or requests unanswered, is chosen only if there is no
  *   other. Among the others, one whose entry has lapsed is chosen only if none
  *   is ready.
+ * - An ejected upstream (outlier_detector.h) is chosen only if there is no
+ *   other, or for a trial: one in so many flows, by the hash of the flow, is
+ *   placed without regard to the ejection if its requests may be repeated.
  * - An upstream that may not receive a new flow now (pace.h) is passed over,
  *   unless the flow's SYN was sent to it before (`except`).
  *
@@ -43,6 +46,8 @@
 	uint64_t flow_hash; /* decides between equal upstreams */
 	/** Upstream that was just tried, or CAROB_UPSTREAM_NONE. */
 	carob_upstream_index_t except;
+	/** The caller may not repeat the requests: no trial of an upstream. */
+	bool once;
 	uint64_t now_ns;
 	const carob_load_view_t *view; /* NULL: load is not shared */
 } carob_placement_query_t;
--- a/include/carobtrail/steering.h
+++ b/include/carobtrail/steering.h
@@ -10,6 +10,7 @@
 #include "carobtrail/flow_table.h"
 #include "carobtrail/histogram.h"
 #include "carobtrail/link_meter.h"
+#include "carobtrail/outlier_detector.h"
 #include "carobtrail/pace.h"
 #include "carobtrail/placement.h"
 #include "carobtrail/route_table.h"
@@ -131,6 +132,10 @@
 void carob_steering_set_pace(carob_steering_t *steering,
 			     const carob_pace_options_t *options);
 
+/** @return the state of outlier detection, borrowed, for metrics */
+const carob_outlier_detector_t *
+carob_steering_outliers(const carob_steering_t *steering);
+
 /** @return the pace of new flows, borrowed */
 const carob_pace_t *carob_steering_pace(const carob_steering_t *steering);
 
--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -48,6 +48,7 @@
 typedef struct carob_upstream_meter {
 	int64_t area;	     /* tenths of a request, times nanoseconds */
 	uint64_t updated_ns; /* `area` counts up to here */
+	uint64_t faded_ns;   /* time up to which the responses have faded */
 	float answered;	     /* responses, of which the old ones fade */
 	float late;	     /* of these, late, missing or failed ones */
 } carob_upstream_meter_t;
@@ -80,6 +81,14 @@
 	uint64_t width_ns;
 } carob_upstream_pace_t;
 
+/** What outlier detection has decided; see outlier_detector.h. */
+typedef struct carob_upstream_outlier {
+	bool ejected;
+	uint8_t in_a_row;    /* ejections with short times between them */
+	uint64_t changed_ns; /* time of the last ejection or return */
+	uint64_t known_ns;   /* when its share was known last */
+} carob_upstream_outlier_t;
+
 /** One upstream. */
 typedef struct carob_upstream {
 	bool used; /* false: a free element of the table */
@@ -123,12 +132,14 @@
 	/** Until then, new flows are placed elsewhere if possible. */
 	uint64_t avoid_until_ns;
 	carob_upstream_pace_t pace;
+	carob_upstream_outlier_t outlier;
 
 	/** What other instances report of it; see load_view.h. */
 	float others_load; /* their requests in progress, a time average */
 	/** Share of their responses that were late, missing or failed. */
 	float others_late;
-	carob_upstream_meter_t meter; /* used only while load is shared */
+	bool others_answered; /* they have seen responses lately */
+	carob_upstream_meter_t meter;
 } carob_upstream_t;
 
 /**
--- a/src/flow/decisions/placement.c
+++ b/src/flow/decisions/placement.c
@@ -12,6 +12,7 @@
 typedef enum candidate_class {
 	CANDIDATE_GOOD,
 	CANDIDATE_LAPSED,
+	CANDIDATE_EJECTED,
 	CANDIDATE_AVOIDED,
 	CANDIDATE_EXCEPTED,
 	CANDIDATE_UNUSABLE,
@@ -20,12 +21,30 @@
 _Static_assert(CANDIDATE_LAPSED == CAROB_PLACEMENT_STEADY_RANK,
 	       "classes that change with each flow come after the steady ones");
 
+/* One in so many flows is placed without regard to evidence against an upstream
+ * or its zone, so that a recovery is noticed. */
+#define RECOVERY_SHARE 8
+/* Salt of the hash by which these flows are chosen. */
+#define RECOVERY_SALT 0x9e3779b97f4a7c15U
+
 typedef struct candidate {
 	candidate_class_t class;
 	double cost;
 	uint64_t tie_break;
 } candidate_t;
 
+bool carob_placement_seeks_recovery(const carob_placement_query_t *query)
+{
+	return carob_hash_u64(query->flow_hash + RECOVERY_SALT) %
+		       RECOVERY_SHARE ==
+	       0;
+}
+
+bool carob_placement_is_trial(const carob_placement_query_t *query)
+{
+	return !query->once && carob_placement_seeks_recovery(query);
+}
+
 static candidate_class_t class_of(const carob_upstream_t *upstream,
 				  carob_upstream_index_t index,
 				  const carob_placement_query_t *query)
@@ -38,6 +57,8 @@
 		return CANDIDATE_UNUSABLE;
 	if (carob_failure_detector_is_avoided(upstream, query->now_ns))
 		return CANDIDATE_AVOIDED;
+	if (upstream->outlier.ejected && !carob_placement_is_trial(query))
+		return CANDIDATE_EJECTED;
 	if (upstream->state == CAROB_UPSTREAM_LAPSED)
 		return CANDIDATE_LAPSED;
 	return CANDIDATE_GOOD;
--- a/src/flow/decisions/placement_priv.h
+++ b/src/flow/decisions/placement_priv.h
@@ -25,6 +25,14 @@
 			 carob_upstream_index_t index,
 			 const carob_placement_query_t *query);
 
+/** @return whether a flow is placed without regard to a silent zone, so that
+ * its recovery is noticed */
+bool carob_placement_seeks_recovery(const carob_placement_query_t *query);
+
+/** @return whether a flow is placed without regard to late and failed
+ * responses; its requests may be repeated */
+bool carob_placement_is_trial(const carob_placement_query_t *query);
+
 /** @return the load of the idle flows of this instance, in requests */
 double carob_placement_idle_load(const carob_upstream_t *upstream);
 
--- a/src/flow/decisions/shared_placement.c
+++ b/src/flow/decisions/shared_placement.c
@@ -49,9 +49,6 @@
 /* Factor of the cost from which on an upstream is one that may recover: a
  * quarter of its responses more than in its zone are late. */
 #define LATE_FACTOR 1.75
-/* One in so many flows is placed without regard to late responses or to a
- * silent zone, so that a recovery is noticed. */
-#define RECOVERY_SHARE 8
 /* Unanswered SYNs to several upstreams that make a zone silent if none answers.
  * An instance with few flows may see two at hanging upstreams of its own zone
  * between two answers; leaving another zone costs nothing. */
@@ -59,8 +56,7 @@
 #define SILENT_SYNS_HOME 4
 /* Salts of the independent choices for one flow. */
 enum salt {
-	SALT_ZONE = 1,
-	SALT_RECOVERY,
+	SALT_ZONE = 2, /* 1 decides on recovery; see placement.c */
 	SALT_CANDIDATE,
 };
 
@@ -102,11 +98,6 @@
 	return (double)(hash_of(query, salt) >> 11) * 0x1p-53;
 }
 
-static bool seeks_recovery(const shared_query_t *query)
-{
-	return hash_of(query, SALT_RECOVERY) % RECOVERY_SHARE == 0;
-}
-
 static bool is_home(const shared_query_t *query,
 		    const carob_upstream_group_t *group)
 {
@@ -344,6 +335,7 @@
 	carob_upstream_group_t *oldest = home;
 
 	flow.except = CAROB_UPSTREAM_NONE;
+	flow.once = true;
 	any.flow = &flow;
 	if (home && home->load.measured_ns == 0)
 		measure_if_due(&any, home, home);
@@ -378,7 +370,8 @@
 						: SILENT_SYNS;
 
 	return group->count > 0 && group->load.rank <= rank &&
-	       (group->unanswered < silent || seeks_recovery(query));
+	       (group->unanswered < silent ||
+		carob_placement_seeks_recovery(query->flow));
 }
 
 /* Returns how much of the flows a group gets. While the own zone is open, it
@@ -492,7 +485,7 @@
 		found++;
 		if (is_better(&candidate, &best))
 			best = candidate;
-		if (candidate.is_late && seeks_recovery(query))
+		if (candidate.is_late && carob_placement_is_trial(query->flow))
 			break;
 	}
 	if (found > 0)
--- a/src/flow/load/load_meter.c
+++ b/src/flow/load/load_meter.c
@@ -2,16 +2,47 @@
 
 #include "carobtrail/rng.h"
 
+#include <math.h>
+
 /* Memory of late responses: an instance of a large zone sees less than one
  * response per second from one upstream. */
 #define LATE_MEMORY_NS (2.0 * CAROB_NS_PER_S)
-/* With less than this of a response in memory, the share is not known. */
-#define ANSWERS_MIN 0.1F
+/* With less than this of a response in memory, the share is not known: 2.4 s
+ * after a single one. */
+#define ANSWERS_MIN 0.3F
 #define UNIT_BITS   53
 
-static uint8_t late_share(const carob_upstream_meter_t *meter)
+bool carob_load_meter_is_known(const carob_upstream_t *upstream)
 {
-	if (meter->answered < ANSWERS_MIN)
+	return upstream->meter.answered >= ANSWERS_MIN;
+}
+
+void carob_load_meter_fade(carob_upstream_t *upstream, uint64_t now_ns)
+{
+	carob_upstream_meter_t *meter = &upstream->meter;
+	double passed_ns = (double)(now_ns - meter->faded_ns);
+	float kept = (float)exp(-passed_ns / LATE_MEMORY_NS);
+
+	meter->faded_ns = now_ns;
+	meter->answered *= kept;
+	meter->late *= kept;
+}
+
+void carob_load_meter_limit(carob_upstream_t *upstream, float responses)
+{
+	carob_upstream_meter_t *meter = &upstream->meter;
+
+	if (meter->answered <= responses)
+		return;
+	meter->late *= responses / meter->answered;
+	meter->answered = responses;
+}
+
+static uint8_t late_share(const carob_upstream_t *upstream)
+{
+	const carob_upstream_meter_t *meter = &upstream->meter;
+
+	if (!carob_load_meter_is_known(upstream))
 		return CAROB_LOAD_LATE_UNKNOWN;
 	return carob_load_late_encode(meter->late / meter->answered);
 }
@@ -32,8 +63,6 @@
 {
 	carob_upstream_meter_t *meter = &upstream->meter;
 	double step = (double)window_ns * CAROB_LOAD_UNITS / CAROB_LOAD_STEPS;
-	float kept =
-		(float)(LATE_MEMORY_NS / (LATE_MEMORY_NS + (double)window_ns));
 	carob_load_entry_t entry = {.tag = carob_load_tag(upstream->tag)};
 	int64_t steps;
 
@@ -49,8 +78,7 @@
 		steps = 0;
 	}
 	entry.load = (uint16_t)steps;
-	entry.late = late_share(meter);
-	meter->answered *= kept;
-	meter->late *= kept;
+	entry.late = late_share(upstream);
+	carob_load_meter_fade(upstream, now_ns);
 	return entry;
 }
--- a/src/flow/load/load_sharing.c
+++ b/src/flow/load/load_sharing.c
@@ -111,6 +111,8 @@
 			entry ? (float)entry->load / CAROB_LOAD_STEPS : 0;
 		upstream->others_late =
 			entry ? (float)carob_load_late_decode(entry->late) : 0;
+		upstream->others_answered =
+			entry && entry->late != CAROB_LOAD_LATE_UNKNOWN;
 	}
 }
 
--- a/src/flow/steering/steering.c
+++ b/src/flow/steering/steering.c
@@ -62,6 +62,7 @@
 		.home_zone = steering->home_zone,
 		.flow_hash = hash,
 		.except = except,
+		.once = !route->idempotent,
 		.now_ns = carob_steering_now_ns(steering),
 		.view = steering->load_view,
 	};
@@ -267,7 +268,9 @@
 	}
 	carob_failure_detector_record_syn(steering->upstreams, flow->upstream,
 					  carob_steering_now_ns(steering));
-	carob_steering_meter_answer(steering, flow->upstream, true);
+	/* On its own, this instance avoids the upstream until it answers. */
+	if (steering->load_view)
+		carob_steering_meter_answer(steering, flow->upstream, true);
 	carob_pace_record_missing(&steering->pace, tried,
 				  carob_steering_now_ns(steering));
 	carob_steering_check_silent(steering, flow->upstream);
@@ -311,6 +314,9 @@
 	carob_pace_update(&steering->pace, steering->upstreams,
 			  steering->routes, steering->load_view,
 			  carob_steering_now_ns(steering));
+	carob_outlier_detector_update(&steering->outliers, steering->upstreams,
+				      steering->load_view,
+				      carob_steering_now_ns(steering));
 	if (flow && flow->first_seq == packet->seq &&
 	    steering->upstreams->items[flow->upstream].evacuated) {
 		steer_evacuated_syn(out, steering, packet, route, flow);
@@ -521,6 +527,12 @@
 	return &steering->pace;
 }
 
+const carob_outlier_detector_t *
+carob_steering_outliers(const carob_steering_t *steering)
+{
+	return &steering->outliers;
+}
+
 void carob_steering_free(carob_steering_t *steering)
 {
 	if (!steering)
--- a/src/flow/steering/steering_flow.c
+++ b/src/flow/steering/steering_flow.c
@@ -34,9 +34,16 @@
 void carob_steering_meter_answer(const carob_steering_t *steering,
 				 carob_upstream_index_t upstream, bool late)
 {
-	if (steering->load_view)
-		carob_load_meter_record(&steering->upstreams->items[upstream],
-					late);
+	carob_load_meter_record(&steering->upstreams->items[upstream], late);
+}
+
+void carob_steering_meter_missing(const carob_steering_t *steering,
+				  carob_flow_t *flow)
+{
+	if (flow->missing)
+		return;
+	flow->missing = true;
+	carob_steering_meter_answer(steering, flow->upstream, true);
 }
 
 void carob_steering_set_overdue(const carob_steering_t *steering,
@@ -228,8 +235,7 @@
 				steering->shared_admission, service, ms,
 				route->target_ms);
 	}
-	/* A repeated request was counted when it was repeated. */
-	if (!flow->repeated)
+	if (!flow->missing)
 		carob_steering_meter_answer(steering, flow->upstream, !in_time);
 }
 
@@ -259,8 +265,7 @@
 				      upstream->service, flow->response_bytes))
 		return;
 	steering->counters.short_responses++;
-	if (steering->load_view)
-		carob_load_meter_record_failure(upstream);
+	carob_load_meter_record_failure(upstream);
 }
 
 /* Adds what the caller has acknowledged to the length of the response. */
@@ -303,7 +308,7 @@
 	if (!flow->repeated) {
 		carob_failure_detector_record_request(steering->upstreams,
 						      flow->upstream, now);
-		carob_steering_meter_answer(steering, flow->upstream, true);
+		carob_steering_meter_missing(steering, flow);
 		carob_pace_record_missing(
 			&steering->pace,
 			&steering->upstreams->items[flow->upstream], now);
@@ -342,6 +347,7 @@
 		flow->request_ms = carob_steering_now_ms(steering);
 	}
 	flow->repeated = false;
+	flow->missing = false;
 	carob_steering_set_pending(steering, flow, true);
 }
 
--- a/src/flow/steering/steering_priv.h
+++ b/src/flow/steering/steering_priv.h
@@ -31,6 +31,7 @@
 	carob_attempt_table_t attempts;
 	carob_pace_t pace;
 	carob_response_norms_t norms;
+	carob_outlier_detector_t outliers;
 	/** NULL: load is not shared. */
 	carob_shared_admission_t *shared_admission;
 	/** Upstream whose flows are to be reset, or CAROB_UPSTREAM_NONE. */
@@ -122,6 +123,10 @@
 void carob_steering_judge_response(carob_steering_t *steering,
 				   carob_flow_t *flow);
 
+/** Meters the request in progress as one without a response, once. */
+void carob_steering_meter_missing(const carob_steering_t *steering,
+				  carob_flow_t *flow);
+
 /**
  * Marks a flow as open at the caller's first packet after the SYN, which shows
  * that an upstream has answered. Does nothing for a reset.
--- a/src/flow/steering/steering_sweep.c
+++ b/src/flow/steering/steering_sweep.c
@@ -201,8 +201,13 @@
 	carob_steering_t *steering = ((overdue_visitor_t *)visitor)->steering;
 	uint32_t now = carob_steering_now_ms(steering);
 
-	if (flow->pending && is_copy_overdue(flow, now))
+	if (flow->pending && !flow->overdue && is_copy_overdue(flow, now)) {
 		carob_steering_set_overdue(steering, flow, true);
+		/* A caller that neither repeats a request nor ends the flow has
+		 * probably been reset by the upstream. */
+		if (flow->phase == CAROB_FLOW_OPEN && !steering->reads_late)
+			carob_steering_meter_missing(steering, flow);
+	}
 	if (!flow->pending && now - flow->last_packet_ms > RESPONSE_GAP_MS_MAX)
 		carob_steering_judge_response(steering, flow);
 	return false;
--- a/src/flow/tables/upstream_table.c
+++ b/src/flow/tables/upstream_table.c
@@ -291,8 +291,12 @@
 static void copy_entry(carob_upstream_t *upstream,
 		       const carob_upstream_entry_t *entry, uint64_t now_ns)
 {
-	if (upstream->started_ms != entry->started_ms)
+	if (upstream->started_ms != entry->started_ms) {
 		carob_upstream_discard_evidence(upstream);
+		upstream->outlier = (carob_upstream_outlier_t){0};
+		upstream->meter.answered = 0;
+		upstream->meter.late = 0;
+	}
 	upstream->number = entry->number;
 	upstream->tag = carob_upstream_tag(entry->number);
 	upstream->endpoint = entry->endpoint;
--- a/src/flowd/explain.c
+++ b/src/flowd/explain.c
@@ -63,7 +63,7 @@
 {
 	return json_pack(
 		"{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:i, s:b, s:b, s:f, s:f, "
-		"s:f, s:b}",
+		"s:f, s:b, s:b}",
 		"id", upstream->id, "state",
 		carob_upstream_state_name(upstream->state), "service",
 		carob_name_table_text(&table->services, upstream->service),
@@ -74,8 +74,8 @@
 		upstream->pace.ramping, "bounded", upstream->pace.bounded,
 		"share", upstream->pace.ramping ? upstream->pace.share : 1.0,
 		"others_load", (double)upstream->others_load, "others_late",
-		(double)upstream->others_late, "evacuated",
-		upstream->evacuated);
+		(double)upstream->others_late, "evacuated", upstream->evacuated,
+		"ejected", upstream->outlier.ejected);
 }
 
 static json_t *load_to_json(const carob_load_status_t *load)
--- a/src/flowd/metrics.c
+++ b/src/flowd/metrics.c
@@ -149,6 +149,8 @@
 {
 	const carob_steering_counters_t *steering =
 		carob_steering_counters(source->steering);
+	const carob_outlier_detector_t *outliers =
+		carob_steering_outliers(source->steering);
 	const flowd_frontend_counters_t *frontend =
 		flowd_frontend_counters(source->frontend);
 	const carob_udp_counters_t *udp = carob_udp_hub_counters(source->hub);
@@ -160,6 +162,9 @@
 		{"packets_send_failed", udp->send_failed},
 		{"packets_repeated_data", steering->repeated_data},
 		{"responses_short", steering->short_responses},
+		{"upstreams_ejected", outliers->ejected},
+		{"upstream_ejections", outliers->ejections},
+		{"upstream_returns", outliers->returns},
 		{"flows", carob_steering_flow_count(source->steering)},
 		{"flows_not_remembered", steering->not_remembered},
 		{"link_congested", source->link_congested},
