steering: overdue requests at failing upstreams are reset; overload guard

Such an upstream acknowledges the request, so its caller repeats nothing and waits for its deadline.

A request that may be repeated and is overdue is reset if its upstream fails 0.4 or more by the reports of all instances while its group fails at most 0.05 and is not overloaded. The caller opens a flow elsewhere. A request without any packet of its caller counts as missing once its target has passed.

An overload made upstreams with a queue look alike: ejections now need a group that was not overloaded for 3 s, and shares count less the fewer responses they stand for.

--- a/include/carobtrail/log.h
+++ b/include/carobtrail/log.h
@@ -124,6 +124,8 @@
 	  "an upstream fails more requests than others and is ejected")        \
 	X(CAROB_EV_UPSTREAM_RETURNED, 5007, INFO,                              \
 	  "an ejected upstream gets new flows again")                          \
+	X(CAROB_EV_UPSTREAM_FAILING, 5008, WARN,                               \
+	  "upstreams fail most requests: overdue requests are reset")          \
 	X(CAROB_EV_PROBES_DISTRUSTED, 5010, WARN,                              \
 	  "most probed upstreams are silent: failed probes are ignored")       \
 	X(CAROB_EV_UPSTREAM_PACED, 5020, INFO,                                 \
--- a/include/carobtrail/outlier_detector.h
+++ b/include/carobtrail/outlier_detector.h
@@ -25,6 +25,7 @@
 typedef struct carob_outlier_detector {
 	uint64_t next_update_ns;
 	uint32_t ejected; /* upstreams that are ejected now */
+	uint32_t failing; /* of these, those that fail most requests */
 	uint64_t ejections;
 	uint64_t returns;
 } carob_outlier_detector_t;
--- a/include/carobtrail/steering.h
+++ b/include/carobtrail/steering.h
@@ -47,7 +47,8 @@
 	X(CAROB_STEER_EVACUATED_MOVED, FORWARD, "evacuated_moved")             \
 	/* A SYN copy of a flow that is open in an evacuated zone. */          \
 	X(CAROB_STEER_EVACUATED_DROPPED, DROP, "evacuated_dropped")            \
-	X(CAROB_STEER_UPSTREAM_GONE, RESET, "upstream_gone")
+	X(CAROB_STEER_UPSTREAM_GONE, RESET, "upstream_gone")                   \
+	X(CAROB_STEER_UPSTREAM_FAILING, RESET, "upstream_failing")
 
 typedef enum carob_steer_reason {
 #define X(name, verdict, text) name,
@@ -62,8 +63,9 @@
 	carob_steer_reason_t reason;
 	/**
 	 * The upstream that a forwarded packet is sent to or, for the reason
-	 * CAROB_STEER_UPSTREAM_SILENT or CAROB_STEER_UPSTREAM_GONE, the one
-	 * that held the flow; otherwise NULL. Borrowed.
+	 * CAROB_STEER_UPSTREAM_SILENT, CAROB_STEER_UPSTREAM_GONE or
+	 * CAROB_STEER_UPSTREAM_FAILING, the one that held the flow; otherwise
+	 * NULL. Borrowed.
 	 */
 	const carob_upstream_t *upstream;
 	/**
--- a/include/carobtrail/upstream_table.h
+++ b/include/carobtrail/upstream_table.h
@@ -84,6 +84,8 @@
 /** What outlier detection has decided; see outlier_detector.h. */
 typedef struct carob_upstream_outlier {
 	bool ejected;
+	/** It fails most requests, and its group hardly any. */
+	bool failing;
 	uint8_t in_a_row;    /* ejections with short times between them */
 	uint64_t changed_ns; /* time of the last ejection or return */
 	uint64_t known_ns;   /* when its share was known last */
@@ -171,6 +173,8 @@
 	carob_upstream_index_t *members;
 	uint32_t count;
 	uint32_t cap;
+	/** When a flow was refused or deferred or upstreams were busy last. */
+	uint64_t overloaded_ns;
 	uint64_t answered_ns; /* latest `answered_ns` of its members */
 	/** SYNs that several members have left unanswered since then. */
 	uint32_t unanswered;
--- a/src/flow/decisions/outlier_detector.c
+++ b/src/flow/decisions/outlier_detector.c
@@ -10,9 +10,21 @@
 #define EJECT_SHARE  0.2
 #define EJECT_FACTOR 2
 #define RETURN_SHARE 0.1
-/* Responses that an instance on its own assumes to have seen in time: of two
- * responses both have to fail, of ten more than three. */
-#define OWN_PRIOR 5.0F
+/* Share from which on an ejected upstream is failing, and that of its group up
+ * to which it is: where others are late too, it may be well and have a queue.
+ * The few responses that one instance sees are no evidence: in a crowd,
+ * upstreams with a queue were taken for failing ones. */
+#define FAILING_SHARE	  0.4
+#define FAILING_USUAL_MAX 0.05
+/* Responses that are assumed to have been in time, beside those that were seen:
+ * of two both have to fail, of ten more than two. */
+#define PRIOR_RESPONSES 5.0
+/* Load of a group in requests per slot from which on requests wait, and how
+ * long a group counts as overloaded after it or a refusal: until the meters
+ * have forgotten most of it. What is late or shed then says nothing about an
+ * upstream of its own. */
+#define BUSY_PER_SLOT 1.0
+#define OVERLOAD_NS   (3 * CAROB_NS_PER_S)
 /* Responses that are remembered of an upstream when it is ejected. With more, a
  * few trials would not show that it has recovered. */
 #define EJECTED_MEMORY 0.5F
@@ -29,7 +41,9 @@
 #define STEPS 32
 
 typedef struct evidence {
-	bool is_shared; /* by the reports of other instances */
+	bool is_shared;	   /* by the reports of other instances */
+	double instances;  /* of them */
+	double remembered; /* responses that they remember of an upstream */
 	uint64_t now_ns;
 } evidence_t;
 
@@ -38,6 +52,7 @@
 	uint32_t counts[STEPS + 1];
 	uint32_t count;
 	uint32_t ejected;
+	bool is_overloaded;
 } shares_t;
 
 static bool is_known(const carob_upstream_t *upstream,
@@ -47,25 +62,26 @@
 				   : carob_load_meter_is_known(upstream);
 }
 
-/* Share of the responses that were late, missing or failed. On its own, an
- * instance takes it for lower the fewer responses it has seen. */
-static double failed_share(const carob_upstream_t *upstream,
-			   const evidence_t *evidence)
+/* Share of the remembered responses that were late, missing or failed. */
+static double raw_share(const carob_upstream_t *upstream,
+			const evidence_t *evidence)
 {
 	const carob_upstream_meter_t *meter = &upstream->meter;
 
 	if (evidence->is_shared)
 		return upstream->others_late;
-	return meter->late / (meter->answered + OWN_PRIOR);
+	return meter->answered > 0 ? meter->late / meter->answered : 0;
 }
 
-/* The same, of an ejected upstream of which something is known. */
-static double trial_share(const carob_upstream_t *upstream,
-			  const evidence_t *evidence)
+/* The same, lower the fewer responses are remembered. */
+static double failed_share(const carob_upstream_t *upstream,
+			   const evidence_t *evidence)
 {
-	return evidence->is_shared
-		       ? upstream->others_late
-		       : upstream->meter.late / upstream->meter.answered;
+	double remembered = evidence->is_shared ? evidence->remembered
+						: upstream->meter.answered;
+
+	return raw_share(upstream, evidence) * remembered /
+	       (remembered + PRIOR_RESPONSES);
 }
 
 static uint32_t step_of(double share)
@@ -73,11 +89,35 @@
 	return (uint32_t)(share * STEPS + 0.5);
 }
 
+/* Reports tell shares only. How many responses they stand for is estimated from
+ * those that this instance has seen itself. */
+static void estimate_remembered(evidence_t *evidence,
+				const carob_upstream_table_t *table,
+				const carob_upstream_group_t *group)
+{
+	double sum = 0;
+
+	for (uint32_t i = 0; i < group->count; i++)
+		sum += table->items[group->members[i]].meter.answered;
+	evidence->remembered =
+		group->count > 0 ? evidence->instances * sum / group->count : 0;
+}
+
+static bool is_overloaded(carob_upstream_group_t *group,
+			  const evidence_t *evidence)
+{
+	if (evidence->is_shared && group->load.per_slot > BUSY_PER_SLOT)
+		group->overloaded_ns = evidence->now_ns;
+	return group->overloaded_ns != 0 &&
+	       evidence->now_ns - group->overloaded_ns < OVERLOAD_NS;
+}
+
 static void collect_shares(shares_t *out, const carob_upstream_table_t *table,
-			   const carob_upstream_group_t *group,
+			   carob_upstream_group_t *group,
 			   const evidence_t *evidence)
 {
-	*out = (shares_t){.count = group->count};
+	*out = (shares_t){.count = group->count,
+			  .is_overloaded = is_overloaded(group, evidence)};
 	for (uint32_t i = 0; i < group->count; i++) {
 		const carob_upstream_t *upstream =
 			&table->items[group->members[i]];
@@ -147,7 +187,7 @@
 
 	if (is_known(upstream, evidence)) {
 		state->known_ns = evidence->now_ns;
-		return trial_share(upstream, evidence) < usual + RETURN_SHARE;
+		return raw_share(upstream, evidence) < usual + RETURN_SHARE;
 	}
 	return evidence->now_ns - state->known_ns >= unknown_ns(state);
 }
@@ -156,11 +196,22 @@
 		      const evidence_t *evidence, const shares_t *shares,
 		      double usual)
 {
-	return 2 * (shares->ejected + 1) <= shares->count &&
+	return !shares->is_overloaded &&
+	       2 * (shares->ejected + 1) <= shares->count &&
 	       failed_share(upstream, evidence) >=
 		       EJECT_FACTOR * usual + EJECT_SHARE;
 }
 
+static bool is_failing(const carob_upstream_t *upstream,
+		       const evidence_t *evidence, const shares_t *shares,
+		       double usual)
+{
+	return evidence->is_shared && upstream->outlier.ejected &&
+	       is_known(upstream, evidence) && !shares->is_overloaded &&
+	       usual <= FAILING_USUAL_MAX &&
+	       raw_share(upstream, evidence) >= FAILING_SHARE;
+}
+
 static void update_upstream(carob_outlier_detector_t *detector,
 			    const carob_upstream_table_t *table,
 			    carob_upstream_t *upstream,
@@ -185,15 +236,18 @@
 		log_change(CAROB_EV_UPSTREAM_RETURNED, table, upstream,
 			   evidence, step);
 	}
+	upstream->outlier.failing =
+		is_failing(upstream, evidence, shares, usual);
+	detector->failing += upstream->outlier.failing;
 }
 
 static void update_group(carob_outlier_detector_t *detector,
 			 carob_upstream_table_t *table,
-			 const carob_upstream_group_t *group,
-			 const evidence_t *evidence)
+			 carob_upstream_group_t *group, evidence_t *evidence)
 {
 	shares_t shares;
 
+	estimate_remembered(evidence, table, group);
 	collect_shares(&shares, table, group, evidence);
 	for (uint32_t i = 0; i < group->count; i++)
 		update_upstream(detector, table,
@@ -215,6 +269,7 @@
 {
 	evidence_t evidence = {
 		.is_shared = carob_load_view_is_fresh(view, now_ns),
+		.instances = carob_load_view_all_instances(view, now_ns),
 		.now_ns = now_ns,
 	};
 	uint64_t interval_ns = table->count * UPDATE_NS_PER_UPSTREAM;
@@ -226,6 +281,7 @@
 	detector->next_update_ns = now_ns + interval_ns;
 	fade_meters(table, now_ns);
 	detector->ejected = 0;
+	detector->failing = 0;
 	for (size_t i = 0; i < table->group_count; i++)
 		update_group(detector, table, &table->groups[i], &evidence);
 }
--- a/src/flow/decisions/response_norms.c
+++ b/src/flow/decisions/response_norms.c
@@ -4,8 +4,9 @@
 
 #include <math.h>
 
-/* Responses from which on a length can be compared. */
-#define SAMPLES_MIN 16
+/* Responses from which on a length can be compared. With 16, the spread was
+ * often far too small. */
+#define SAMPLES_MIN 50
 /* Least step of the estimates, in logarithms. Earlier steps are 1/n. */
 #define STEP_MIN 0.02
 /* A response is short below half of the median, and if its logarithm is this
--- a/src/flow/steering/steering.c
+++ b/src/flow/steering/steering.c
@@ -161,6 +161,13 @@
 	return flow->upstream;
 }
 
+/* Notes that a service is overloaded, in all zones. */
+static void note_refusal(carob_steering_t *steering, carob_name_id_t service)
+{
+	CAROB_UPSTREAM_GROUPS_OF (group, steering->upstreams, service)
+		group->overloaded_ns = carob_steering_now_ns(steering);
+}
+
 static void steer_new_syn(carob_steer_result_t *out, carob_steering_t *steering,
 			  const carob_flow_packet_t *packet,
 			  const carob_route_t *route)
@@ -188,6 +195,7 @@
 	admission = decide_admission(out, steering, packet, route,
 				     steering->upstreams->items[to].service);
 	if (admission != CAROB_ADMISSION_ACCEPT) {
+		note_refusal(steering, steering->upstreams->items[to].service);
 		set_decision(out, steering,
 			     admission == CAROB_ADMISSION_DEFER
 				     ? CAROB_STEER_DEFERRED
--- a/src/flow/steering/steering_priv.h
+++ b/src/flow/steering/steering_priv.h
@@ -24,6 +24,7 @@
 	bool reset_gone;
 	bool reads_late;	  /* the last packet was no evidence */
 	uint64_t gone_checked_ns; /* time of the last check for gone upstreams */
+	uint64_t failing_checked_ns; /* the same for failing upstreams */
 	uint64_t overdue_checked_ns; /* the same for overdue requests */
 	size_t overdue_at;	     /* bucket at which the next one begins */
 	carob_flow_table_t flows;
--- a/src/flow/steering/steering_sweep.c
+++ b/src/flow/steering/steering_sweep.c
@@ -33,8 +33,9 @@
 #define IDLE_MS_DEFAULT 60000
 /* Number of calls of the sweep that cover the whole table. */
 #define SWEEP_PARTS 4
-/* Interval of the checks for gone upstreams. */
-#define GONE_CHECK_NS (100 * CAROB_NS_PER_MS)
+/* Intervals of the checks for gone and for failing upstreams. */
+#define GONE_CHECK_NS	 (100 * CAROB_NS_PER_MS)
+#define FAILING_CHECK_NS (50 * CAROB_NS_PER_MS)
 
 typedef struct reset_visitor {
 	carob_flow_visitor_t visitor;
@@ -43,7 +44,8 @@
 	/** Whether the flows of an upstream are reset. */
 	bool (*applies)(const carob_steering_t *steering,
 			carob_upstream_index_t upstream);
-	bool idle; /* also flows without a request in progress */
+	bool idle;    /* also flows without a request in progress */
+	bool overdue; /* only requests that are overdue */
 	uint64_t count;
 } reset_visitor_t;
 
@@ -70,6 +72,8 @@
 		return false;
 	if (flow->pending ? !may_repeat(steering, &packet) : !reset->idle)
 		return false;
+	if (reset->overdue && !flow->overdue)
+		return false;
 	reset->sender->send(reset->sender, &packet, flow->last_ack);
 	reset->count++;
 	carob_steering_unbind_flow(steering, flow);
@@ -124,6 +128,40 @@
 			  CAROB_FIELD_U64("flows_reset", reset.count));
 }
 
+static bool is_failing_upstream(const carob_steering_t *steering,
+				carob_upstream_index_t upstream)
+{
+	return steering->upstreams->items[upstream].outlier.failing;
+}
+
+/* Resets requests that are overdue at upstreams that fail most requests, unlike
+ * the others of their group. An upstream that is well and has a queue has one
+ * while others are late too. The caller sends the request elsewhere, in time;
+ * at this upstream it would be late, or never served. */
+static void reset_failing(carob_steering_t *steering,
+			  carob_reset_sender_t *sender)
+{
+	uint64_t now = carob_steering_now_ns(steering);
+	reset_visitor_t reset = {.visitor.visit = reset_flow,
+				 .steering = steering,
+				 .sender = sender,
+				 .applies = is_failing_upstream,
+				 .overdue = true};
+
+	if (steering->outliers.failing == 0 || steering->reads_late ||
+	    now - steering->failing_checked_ns < FAILING_CHECK_NS)
+		return;
+	steering->failing_checked_ns = now;
+	carob_flow_table_sweep(&steering->flows, steering->flows.cap,
+			       &reset.visitor);
+	steering->counters.reasons[CAROB_STEER_UPSTREAM_FAILING] += reset.count;
+	if (reset.count > 0)
+		CAROB_LOG(CAROB_EV_UPSTREAM_FAILING,
+			  CAROB_FIELD_U64("flows_reset", reset.count),
+			  CAROB_FIELD_U64("upstreams",
+					  steering->outliers.failing));
+}
+
 void carob_steering_reset_silent(carob_steering_t *steering,
 				 carob_reset_sender_t *sender)
 {
@@ -133,6 +171,7 @@
 				 .applies = is_silent_upstream};
 
 	reset_gone(steering, sender);
+	reset_failing(steering, sender);
 	if (steering->silent_upstream == CAROB_UPSTREAM_NONE)
 		return;
 	carob_flow_table_sweep(&steering->flows, steering->flows.cap,
@@ -190,6 +229,17 @@
 	return true;
 }
 
+/* Returns whether a response to the request in progress would be late by now. */
+static bool is_past_target(const carob_steering_t *steering,
+			   const carob_flow_t *flow, uint32_t now_ms)
+{
+	carob_endpoint_t endpoint = {flow->route_ip, flow->route_port};
+	const carob_route_t *route = NULL;
+
+	(void)carob_route_table_find(&route, steering->routes, endpoint);
+	return route && now_ms - flow->request_ms > route->target_ms;
+}
+
 typedef struct overdue_visitor {
 	carob_flow_visitor_t visitor;
 	carob_steering_t *steering;
@@ -201,13 +251,13 @@
 	carob_steering_t *steering = ((overdue_visitor_t *)visitor)->steering;
 	uint32_t now = carob_steering_now_ms(steering);
 
-	if (flow->pending && !flow->overdue && is_copy_overdue(flow, now)) {
+	if (flow->pending && is_copy_overdue(flow, now))
 		carob_steering_set_overdue(steering, flow, true);
-		/* A caller that neither repeats a request nor ends the flow has
-		 * probably been reset by the upstream. */
-		if (flow->phase == CAROB_FLOW_OPEN && !steering->reads_late)
-			carob_steering_meter_missing(steering, flow);
-	}
+	/* A caller that neither repeats a request nor ends the flow waits for
+	 * an upstream that has the request, or was reset by it. */
+	if (flow->overdue && !flow->missing && flow->phase == CAROB_FLOW_OPEN &&
+	    !steering->reads_late && is_past_target(steering, flow, now))
+		carob_steering_meter_missing(steering, flow);
 	if (!flow->pending && now - flow->last_packet_ms > RESPONSE_GAP_MS_MAX)
 		carob_steering_judge_response(steering, flow);
 	return false;
--- a/tests/flow/outlier_detector_test.c
+++ b/tests/flow/outlier_detector_test.c
@@ -12,6 +12,9 @@
 
 #define MS	CAROB_NS_PER_MS
 #define MEMBERS 8
+/* Of an upstream at each instance; 25 of them remember 20 together. */
+#define RESPONSES 0.8F
+#define INSTANCES 25
 
 typedef struct fixture {
 	carob_upstream_table_t upstreams;
@@ -32,7 +35,7 @@
 	if (shares_load)
 		fixture->view =
 			(carob_load_view_t){.zone_instances = 9,
-					    .all_instances = 25,
+					    .all_instances = INSTANCES,
 					    .updated_ns = FIXTURE_START,
 					    .expires_ns = UINT64_MAX,
 					    .counts_expire_ns = UINT64_MAX};
@@ -49,9 +52,20 @@
 	upstream_at(fixture, i)->others_answered = true;
 }
 
+/* Sets how many responses this instance remembers of each upstream. */
+static void remember(fixture_t *fixture, float responses)
+{
+	for (size_t i = 0; i < MEMBERS; i++) {
+		upstream_at(fixture, i)->meter.answered = responses;
+		upstream_at(fixture, i)->meter.faded_ns = fixture->now_ns;
+	}
+}
+
 static void update_after(fixture_t *fixture, uint64_t ms)
 {
 	fixture->now_ns += ms * MS;
+	if (fixture->view.all_instances > 0)
+		remember(fixture, RESPONSES);
 	carob_outlier_detector_update(&fixture->detector, &fixture->upstreams,
 				      &fixture->view, fixture->now_ns);
 }
@@ -100,6 +114,65 @@
 	}
 }
 
+/* A share of few responses, and lateness in an overload, are no evidence. */
+static void test_weak_evidence(void)
+{
+	fixture_t fixture;
+
+	fixture_init(&fixture, true);
+	report(&fixture, 0, 0.5);
+	remember(&fixture, 2.0F / INSTANCES);
+	carob_outlier_detector_update(&fixture.detector, &fixture.upstreams,
+				      &fixture.view, fixture.now_ns);
+	CU_ASSERT_EQUAL(count_ejected(&fixture), 0);
+	fixture.upstreams.groups[0].overloaded_ns = fixture.now_ns;
+	update_after(&fixture, 2900);
+	CU_ASSERT_EQUAL(count_ejected(&fixture), 0);
+	update_after(&fixture, 100);
+	CU_ASSERT_EQUAL(count_ejected(&fixture), 1);
+	carob_upstream_table_dispose(&fixture.upstreams);
+}
+
+typedef struct failing_case {
+	bool shares_load;
+	double share;
+	double others;
+	bool overloaded;
+	bool failing;
+} failing_case_t;
+
+/* Requests in progress may only be reset at an upstream that fails by the
+ * reports of all, while the others of its group do not: a reset of one that has
+ * a queue would break off what it serves. */
+static void test_failing(void)
+{
+	static const failing_case_t cases[] = {
+		{true, 0.5, 0, false, true},	{true, 0.35, 0, false, false},
+		{true, 0.9, 0.1, false, false}, {true, 0.9, 0, true, false},
+		{false, 1, 0, false, false},
+	};
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(cases); i++) {
+		const failing_case_t *c = &cases[i];
+		fixture_t fixture;
+
+		fixture_init(&fixture, c->shares_load);
+		for (size_t k = 0; k < MEMBERS; k++)
+			report(&fixture, k, k == 0 ? c->share : c->others);
+		remember(&fixture, 10);
+		upstream_at(&fixture, 0)->meter.late = 10;
+		update_after(&fixture, 1);
+		if (c->overloaded)
+			fixture.upstreams.groups[0].overloaded_ns =
+				fixture.now_ns;
+		update_after(&fixture, 100);
+		CU_ASSERT_EQUAL(upstream_at(&fixture, 0)->outlier.failing,
+				c->failing);
+		CU_ASSERT_EQUAL(fixture.detector.failing, c->failing);
+		carob_upstream_table_dispose(&fixture.upstreams);
+	}
+}
+
 /* Responses that one instance has seen, and whether they suffice on their own:
  * a single failure must not. */
 static void test_own_responses(void)
@@ -238,6 +311,8 @@
 {
 	static const test_case_t cases[] = {
 		{"reported shares", test_reported_shares},
+		{"weak evidence", test_weak_evidence},
+		{"failing", test_failing},
 		{"own responses", test_own_responses},
 		{"return", test_return},
 		{"return without responses", test_return_unknown},
