outlier detection: verdicts end with the group, and without SYNs

A verdict is renewed for members of groups by the SYNs that an instance gets. An upstream that began to drain while it failed kept its verdict, and so did all at an instance that got no more SYNs; overdue requests there would have been reset although nothing showed any more that the upstream fails. Found by reading.

A drained or removed upstream has no verdict; without a SYN for 0.5 s no request is reset.

--- a/src/flow/steering/steering_sweep.c
+++ b/src/flow/steering/steering_sweep.c
@@ -36,6 +36,9 @@
 /* Intervals of the checks for gone and for failing upstreams. */
 #define GONE_CHECK_NS	 (100 * CAROB_NS_PER_MS)
 #define FAILING_CHECK_NS (50 * CAROB_NS_PER_MS)
+/* Outlier detection is renewed by SYNs. Without any for this long, what it has
+ * found is no reason to reset requests. */
+#define VERDICT_NS_MAX (500 * CAROB_NS_PER_MS)
 
 typedef struct reset_visitor {
 	carob_flow_visitor_t visitor;
@@ -162,6 +165,7 @@
 				 .overdue = true};
 
 	if (steering->outliers.failing == 0 || steering->reads_late ||
+	    now >= steering->outliers.next_update_ns + VERDICT_NS_MAX ||
 	    now - steering->failing_checked_ns < FAILING_CHECK_NS)
 		return;
 	steering->failing_checked_ns = now;
--- a/src/flow/tables/upstream_table.c
+++ b/src/flow/tables/upstream_table.c
@@ -31,10 +31,13 @@
 	upstream->state = state;
 	upstream->changed_ns = now_ns;
 	table->changes++;
-	if (state == CAROB_UPSTREAM_DRAINING || state == CAROB_UPSTREAM_GONE)
+	if (state == CAROB_UPSTREAM_DRAINING || state == CAROB_UPSTREAM_GONE) {
 		carob_upstream_group_leave(
 			table,
 			(carob_upstream_index_t)(upstream - table->items));
+		/* Outlier detection looks at members of groups only. */
+		upstream->outlier = (carob_upstream_outlier_t){0};
+	}
 	CAROB_LOG(CAROB_EV_UPSTREAM_STATE,
 		  CAROB_FIELD_CSTR("upstream", upstream->id),
 		  CAROB_FIELD_CSTR("state", carob_upstream_state_name(state)),
--- a/tests/flow/outlier_detector_test.c
+++ b/tests/flow/outlier_detector_test.c
@@ -266,6 +266,25 @@
 	carob_upstream_table_dispose(&fixture.upstreams);
 }
 
+/* An upstream that drains is in no group; a verdict that nothing renews would
+ * let requests be reset that it serves. */
+static void test_draining(void)
+{
+	fixture_t fixture;
+	fixture_upstream_t row =
+		UPSTREAM("ua", 1, "web", "a", 2, .draining = true);
+
+	fixture_init(&fixture, true);
+	report(&fixture, 0, 0.9);
+	update_after(&fixture, 100);
+	update_after(&fixture, 1100);
+	CU_ASSERT_TRUE(upstream_at(&fixture, 0)->outlier.failing);
+	fixture_put(&fixture.upstreams, &row, 100);
+	CU_ASSERT_FALSE(upstream_at(&fixture, 0)->outlier.failing);
+	CU_ASSERT_FALSE(upstream_at(&fixture, 0)->outlier.ejected);
+	carob_upstream_table_dispose(&fixture.upstreams);
+}
+
 /* Returns the share of flows that are placed on ejected upstreams. */
 static double share_placed(fixture_t *fixture, bool once)
 {
@@ -319,6 +338,7 @@
 		{"return", test_return},
 		{"return without responses", test_return_unknown},
 		{"restart", test_restart},
+		{"draining", test_draining},
 		{"placement", test_placement},
 	};
 
