--- a/tests/flow/failing_requests_test.c
+++ b/tests/flow/failing_requests_test.c
@@ -86,7 +86,9 @@
 {
 	const carob_upstream_t *upstream = steer(fixture, fixture_syn(1, 0));
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(upstream);
+	CU_ASSERT_PTR_NOT_NULL(upstream);
+	if (!upstream)
+		return;
 	fixture->upstream =
 		&fixture->upstreams.items[upstream - fixture->upstreams.items];
 	(void)steer(fixture, fixture_data(1, upstream->tag, 0, 10, 5000));
