--- a/review/standin/base.c
+++ b/review/standin/base.c
@@ -10,6 +10,7 @@
 
 uint32_t base_ip;
 uint64_t broken_packets;
+uint64_t datagrams;
 static FILE *record_file;
 static uint64_t start_ms;
 
@@ -181,6 +182,7 @@
 
 size_t packet_encode(uint8_t *out, packet_t *p)
 {
+	datagrams++;
 	p->sum = packet_sum(p);
 	memset(out, 0, HEAD_BYTES);
 	out[0] = (uint8_t)(p->len >> 8);
--- a/review/standin/clients.c
+++ b/review/standin/clients.c
@@ -11,16 +11,18 @@
 
 #define FLOWS_MAX 8192
 #define ATTEMPTS_MAX 3
+#define REQUEST_BYTES 900
 
-typedef enum phase { FREE, OPENING, WAITING, ENDING } phase_t;
+typedef enum phase { FREE, OPENING, WAITING, IDLE, ENDING } phase_t;
 
 typedef struct client_flow {
 	phase_t phase;
 	size_t client;
 	uint16_t port;
 	uint64_t request; /* number, from 1 */
-	uint32_t seq, ack, echo;
+	uint32_t seq, ack, echo; /* seq: next data, once the flow is open */
 	uint64_t start_ms, send_ms;
+	int left; /* requests that follow on this flow */
 	uint32_t wait_ms;
 	int copies;
 	uint64_t copy_ms[3];
@@ -33,6 +35,8 @@
 size_t instance_count;
 bool in_rotation[8];
 static client_flow_t flows[FLOWS_MAX];
+uint64_t open_resets; /* resets of the system on open flows */
+uint32_t pause_min_ms = 300, pause_range_ms = 2000;
 static uint16_t next_port[CLIENTS_MAX];
 
 /* Routers. */
@@ -152,26 +156,32 @@
 	flow->copies++;
 }
 
-static void send_data(client_flow_t *flow)
+static size_t write_request(char data[REQUEST_BYTES], const client_flow_t *flow)
 {
 	const route_t *route = requests[flow->request - 1].route;
-	char data[900];
-	int len = snprintf(data, sizeof(data),
+	int len = snprintf(data, REQUEST_BYTES,
 			   "%s / HTTP/1.1\r\nHost: h\r\nRequest-Id: %llu\r\n"
 			   "Content-Length: 300\r\n\r\n",
 			   strcmp(route->type, "unsafe") ? "GET" : "POST",
 			   (unsigned long long)flow->request);
 
 	memset(data + len, 'a', 300);
-	send_packet(flow, ACK, flow->seq + 1, flow->ack, data,
-		    (uint16_t)(len + 300));
+	return (size_t)len + 300;
+}
+
+static void send_data(client_flow_t *flow)
+{
+	char data[REQUEST_BYTES];
+	size_t len = write_request(data, flow);
+
+	send_packet(flow, ACK, flow->seq, flow->ack, data, (uint16_t)len);
 	flow->wait_ms = flow->wait_ms ? 2 * flow->wait_ms : 200;
 	if (flow->wait_ms > 1600)
 		flow->wait_ms = 1600;
 	flow->send_ms = now_ms() + flow->wait_ms;
 }
 
-static void attempt(uint64_t request)
+static void attempt(uint64_t request, int left)
 {
 	client_flow_t *flow = NULL;
 	size_t client = (size_t)(request % client_count);
@@ -184,6 +194,7 @@
 	*flow = (client_flow_t){.phase = OPENING, .client = client,
 				.port = next_port[client]++,
 				.request = request, .seq = (uint32_t)rand(),
+				.left = left,
 				.start_ms = now_ms()};
 	if (next_port[client] < 40000)
 		next_port[client] = 40000;
@@ -191,7 +202,7 @@
 	send_syn(flow);
 }
 
-void client_send(const route_t *route)
+void client_send(const route_t *route, int requests_per_flow)
 {
 	request_t *request = &requests[request_count++];
 
@@ -199,7 +210,16 @@
 		exit(2);
 	*request = (request_t){.id = request_count, .route = route, .host = -1,
 			       .sent_ms = now_ms()};
-	attempt(request_count);
+	attempt(request_count, requests_per_flow - 1);
+}
+
+uint64_t client_request_of(uint32_t ip, uint16_t port)
+{
+	for (size_t i = 0; i < FLOWS_MAX; i++)
+		if (flows[i].phase != FREE && flows[i].port == port &&
+		    CLIENT_IP(flows[i].client) == ip)
+			return flows[i].request;
+	return 0;
 }
 
 /* A SYN holds no request; the stand-in knows which client sent it. */
@@ -222,16 +242,57 @@
 {
 	uint64_t number = flow->request;
 	request_t *request = &requests[number - 1];
+	int left = flow->left;
 
 	flow->phase = FREE;
 	request->refused |= reset;
 	if (request->attempts < ATTEMPTS_MAX &&
 	    now_ms() - request->sent_ms < request->route->timeout_ms)
-		attempt(number);
+		attempt(number, left);
 	else
 		request->over = true;
 }
 
+/* Acknowledges a response, and ends the flow or keeps it for a while. */
+static void end_request(client_flow_t *flow, request_t *request,
+			const packet_t *p)
+{
+	char data[REQUEST_BYTES];
+
+	flow->seq += (uint32_t)write_request(data, flow);
+	flow->ack = p->seq + p->len;
+	request->answered = true;
+	request->answered_ms = now_ms();
+	request->over = true;
+	if (flow->left > 0) {
+		flow->phase = IDLE;
+		flow->send_ms = now_ms() + pause_min_ms +
+				(uint64_t)rand() % pause_range_ms;
+		send_packet(flow, ACK, flow->seq, flow->ack, NULL, 0);
+		return;
+	}
+	flow->phase = ENDING;
+	flow->send_ms = now_ms() + 400;
+	send_packet(flow, ACK | FIN, flow->seq, flow->ack, NULL, 0);
+}
+
+static void next_request(client_flow_t *flow)
+{
+	const route_t *route = requests[flow->request - 1].route;
+	request_t *request = &requests[request_count++];
+
+	if (request_count == REQUESTS_MAX)
+		exit(2);
+	*request = (request_t){.id = request_count, .route = route, .host = -1,
+			       .sent_ms = now_ms(), .opened = true,
+			       .attempts = ATTEMPTS_MAX};
+	flow->request = request_count;
+	flow->left--;
+	flow->wait_ms = 0;
+	flow->phase = WAITING;
+	send_data(flow);
+}
+
 static void on_packet(client_flow_t *flow, packet_t *p)
 {
 	request_t *request = &requests[flow->request - 1];
@@ -242,13 +303,16 @@
 			return;
 		}
 		/* A reset outside of the window is ignored. */
-		if (flow->phase == WAITING &&
+		if ((flow->phase == WAITING || flow->phase == IDLE) &&
 		    (uint32_t)(p->seq - flow->ack + 76800) <= 153600) {
 			request->reset_open = true;
 			request->over = true;
 			flow->phase = FREE;
-			record("request %llu: reset on an open flow, sent by %s",
+			open_resets += p->sum == 0;
+			record("request %llu%s: the client got a reset on its "
+			       "open flow, sent by %s",
 			       (unsigned long long)flow->request,
+			       request->answered ? " (answered)" : "",
 			       p->sum == 0 ? "the system" : "a host");
 		}
 		return;
@@ -261,22 +325,20 @@
 	flow->echo = p->echo;
 	if ((p->flags & SYN) && flow->phase == OPENING) {
 		flow->ack = p->seq + 1;
+		flow->seq++;
 		flow->phase = WAITING;
 		request->opened = true;
 		request->opened_ms = now_ms();
 		send_data(flow);
 		return;
 	}
-	if (flow->phase == WAITING && p->len) {
-		flow->ack = p->seq + p->len;
-		request->answered = true;
-		request->answered_ms = now_ms();
-		request->over = true;
-		flow->phase = ENDING;
-		flow->send_ms = now_ms() + 400;
-		send_packet(flow, ACK | FIN, flow->seq + 1 + p->len, flow->ack,
-			    NULL, 0);
+	if (p->len && p->seq != flow->ack) {
+		/* A copy of a response: its acknowledgement was lost. */
+		send_packet(flow, ACK, flow->seq, flow->ack, NULL, 0);
+		return;
 	}
+	if (flow->phase == WAITING && p->len)
+		end_request(flow, request, p);
 	if (flow->phase == ENDING && (p->flags & FIN))
 		flow->phase = FREE;
 }
@@ -321,6 +383,9 @@
 		} else if (now >= flow->send_ms) {
 			send_data(flow);
 		}
+	} else if (flow->phase == IDLE) {
+		if (now >= flow->send_ms)
+			next_request(flow);
 	} else if (flow->phase == ENDING && now >= flow->send_ms) {
 		flow->phase = FREE;
 	}
--- a/review/standin/hosts.c
+++ b/review/standin/hosts.c
@@ -7,17 +7,18 @@
 
 #define FLOWS_MAX 20000
 #define RESPONSE_BYTES 600
+#define SENDS_MAX      9 /* a packet and 8 retransmissions */
 
 typedef struct host_flow {
-	bool used, open, answered, acked, fin;
+	bool used, open;
 	size_t host;
 	uint32_t src, dst;
 	uint16_t sport, dport;
 	uint32_t seq;	   /* next of the host */
 	uint32_t expected; /* next of the client */
 	uint32_t echo;
-	uint64_t request;  /* 0: none yet */
-	uint64_t done_ms;  /* when the work ends; 0: none in progress */
+	uint64_t request;  /* in progress; 0: none */
+	uint64_t done_ms;  /* when the work ends */
 	uint64_t send_ms;  /* when the response is sent again */
 	uint32_t wait_ms;
 	int sent;
@@ -28,6 +29,10 @@
 void (*on_opening)(host_t *host, const request_t *request, uint64_t sent_ms);
 static host_flow_t flows[FLOWS_MAX];
 static uint64_t id_seed = 0x9e16b79e8cu;
+uint32_t syn_ack_loss; /* each so many-th SYN+ACK is lost; 0: none */
+uint64_t syn_acks_lost;
+void (*on_host_reset)(const host_t *host, const host_t *holder,
+		      uint64_t request);
 
 size_t host_add(const char *service, const char *zone, uint32_t slots,
 		uint32_t work_ms)
@@ -115,6 +120,8 @@
 	record("host %s ended and its entry was removed", hosts[index].id);
 }
 
+uint64_t client_request_of(uint32_t ip, uint16_t port);
+
 static void send_packet(const host_t *host, packet_t *p)
 {
 	uint8_t bytes[HEAD_BYTES + DATA_MAX];
@@ -137,14 +144,33 @@
 	send_packet(host, &p);
 }
 
+/* @return the flow where a host that lives holds it open, or NULL */
+static const host_flow_t *find_open(const packet_t *p)
+{
+	for (size_t i = 0; i < FLOWS_MAX; i++) {
+		const host_flow_t *f = &flows[i];
+
+		if (f->used && f->open && f->src == p->src &&
+		    f->sport == p->sport && f->dst == p->dst &&
+		    f->dport == p->dport)
+			return f;
+	}
+	return NULL;
+}
+
 static void send_rst(const host_t *host, const packet_t *in)
 {
+	const host_flow_t *open = find_open(in);
 	packet_t p = {.seq = in->ack, .flags = RST, .src = in->dst,
 		      .dst = in->src, .sport = in->dport, .dport = in->sport,
 		      .echo = in->echo};
 
-	if (!(in->flags & RST))
-		send_packet(host, &p);
+	if (in->flags & RST)
+		return;
+	send_packet(host, &p);
+	if (open && on_host_reset)
+		on_host_reset(host, &hosts[open->host],
+			      client_request_of(in->src, in->sport));
 }
 
 static host_flow_t *find_flow(size_t host, const packet_t *p, bool add)
@@ -188,6 +214,9 @@
 	if (host->slot_free_ms[best] > start)
 		start = host->slot_free_ms[best];
 	flow->done_ms = start + host->work_ms;
+	flow->sent = 0;
+	flow->wait_ms = 0;
+	flow->send_ms = 0;
 	host->slot_free_ms[best] = flow->done_ms;
 	host->runs++;
 	if (flow->request == 0 || flow->request > request_count) {
@@ -204,6 +233,31 @@
 	request->host = (int)(host - hosts);
 }
 
+static void set_resend(host_flow_t *flow)
+{
+	flow->sent++;
+	flow->wait_ms = flow->wait_ms ? 2 * flow->wait_ms : 200;
+	if (flow->wait_ms > 1600)
+		flow->wait_ms = 1600;
+	flow->send_ms = now_ms() + flow->wait_ms;
+}
+
+/* A SYN+ACK is sent again until the client acknowledges it. */
+static void send_syn_ack(host_flow_t *flow)
+{
+	static uint64_t count;
+	bool first = flow->sent == 0;
+
+	set_resend(flow);
+	if (first && syn_ack_loss && ++count % syn_ack_loss == 0) {
+		syn_acks_lost++;
+		record("the SYN+ACK of %s to port %u of client %u is lost",
+		       hosts[flow->host].id, flow->sport, flow->src & 255);
+		return;
+	}
+	reply(&hosts[flow->host], flow, SYN | ACK, flow->seq, NULL, 0);
+}
+
 static void on_syn(size_t index, const packet_t *p, uint64_t sent_ms,
 		   uint64_t request)
 {
@@ -224,7 +278,8 @@
 				   sent_ms);
 	}
 	flow->echo = p->echo;
-	reply(host, flow, SYN | ACK, flow->seq, NULL, 0);
+	if (!flow->open)
+		send_syn_ack(flow);
 }
 
 uint64_t client_syn_info(const packet_t *p, uint64_t *sent_ms);
@@ -251,28 +306,36 @@
 		send_rst(host, p);
 		return;
 	}
-	flow->echo = p->echo;
 	if (p->flags & RST) {
 		flow->used = false;
 		return;
 	}
-	if (!flow->open && p->ack == flow->seq + 1) {
+	if (!flow->open && p->ack != flow->seq + 1) {
+		/* The client has taken another host's SYN+ACK: this host does
+		 * not hold the flow (as RFC 9293, 3.10.7.4, SYN-RECEIVED). */
+		flow->used = false;
+		send_rst(host, p);
+		return;
+	}
+	flow->echo = p->echo;
+	if (!flow->open) {
 		flow->open = true;
 		flow->seq++;
+		flow->sent = 0;
+		flow->wait_ms = 0;
 		host->opened++;
 	}
-	if (!flow->open)
-		return;
-	if (flow->answered && p->ack == flow->seq + RESPONSE_BYTES)
-		flow->acked = true;
-	if (p->len && p->seq == flow->expected) {
+	if (flow->request && flow->sent && p->ack == flow->seq + RESPONSE_BYTES) {
+		flow->seq += RESPONSE_BYTES;
+		flow->request = 0;
+	}
+	if (p->len && p->seq == flow->expected && !flow->request) {
 		flow->expected += p->len;
-		if (!flow->request)
-			run_request(host, flow, p);
+		run_request(host, flow, p);
 	}
 	if (p->flags & FIN) {
 		flow->expected = p->seq + p->len + 1;
-		reply(host, flow, ACK | FIN, flow->seq + RESPONSE_BYTES, NULL, 0);
+		reply(host, flow, ACK | FIN, flow->seq, NULL, 0);
 		flow->used = false;
 		return;
 	}
@@ -310,13 +373,8 @@
 			    (unsigned long long)flow->request);
 
 	memset(data + head, 'b', sizeof(data) - (size_t)head);
-	flow->answered = true;
+	set_resend(flow);
 	reply(&hosts[flow->host], flow, ACK, flow->seq, data, RESPONSE_BYTES);
-	flow->sent++;
-	flow->wait_ms = flow->wait_ms ? 2 * flow->wait_ms : 200;
-	if (flow->wait_ms > 1600)
-		flow->wait_ms = 1600;
-	flow->send_ms = now_ms() + flow->wait_ms;
 }
 
 void hosts_tick(void)
@@ -326,12 +384,16 @@
 	for (size_t i = 0; i < FLOWS_MAX; i++) {
 		host_flow_t *flow = &flows[i];
 
-		if (!flow->used || !flow->done_ms || flow->acked)
+		if (!flow->used || (flow->open && !flow->request))
+			continue;
+		if (now < flow->send_ms || (flow->open && now < flow->done_ms))
 			continue;
-		if (flow->sent > 8)
+		if (flow->sent >= SENDS_MAX)
 			flow->used = false;
-		else if (now >= flow->done_ms && now >= flow->send_ms)
+		else if (flow->open)
 			send_response(flow);
+		else
+			send_syn_ack(flow);
 	}
 }
 
--- a/review/standin/main.c
+++ b/review/standin/main.c
@@ -77,5 +77,7 @@
 	record("scenario %s, disruption %s", argv[1], on ? "on" : "off");
 	if (strcmp(argv[1], "silent") == 0)
 		return scenario_silent(on);
+	if (strcmp(argv[1], "syn_ack") == 0)
+		return scenario_syn_ack(on);
 	return 2;
 }
--- a/review/standin/scenario_silent.c
+++ b/review/standin/scenario_silent.c
@@ -22,7 +22,7 @@
 static void send_requests(void)
 {
 	for (; next_ms <= now_ms(); next_ms += RATE_MS)
-		client_send(&route);
+		client_send(&route, 1);
 }
 
 /* Machines are in touch from CONTACT_MS after the connections went silent. */
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -143,7 +143,10 @@
 extern request_t requests[REQUESTS_MAX];
 extern size_t request_count;
 void clients_start(size_t count);
-void client_send(const route_t *route);
+/* Sends a request on a new flow, and further ones on it after pauses. */
+void client_send(const route_t *route, int requests_per_flow);
+extern uint32_t pause_min_ms, pause_range_ms;
+extern uint64_t open_resets; /* resets of the system on open flows */
 void client_handle(size_t index);
 void clients_tick(void);
 extern int client_fds[CLIENTS_MAX];
@@ -154,6 +157,13 @@
 extern void (*on_opening)(host_t *host, const request_t *request,
 			  uint64_t sent_ms);
 
+/* Called when a host resets a flow that another one, which lives, holds open. */
+extern void (*on_host_reset)(const host_t *host, const host_t *holder,
+			     uint64_t request);
+extern uint32_t syn_ack_loss; /* each so many-th SYN+ACK is lost; 0: none */
+extern uint64_t syn_acks_lost;
+extern uint64_t datagrams; /* sent by hosts and clients */
+
 extern uint64_t broken_packets; /* packets that differ from what was sent */
 
 /* Runs the loop until `until_ms`. `tick` is called every few milliseconds. */
@@ -163,5 +173,6 @@
 
 /* Scenarios. @return the exit status */
 int scenario_silent(bool trouble);
+int scenario_syn_ack(bool trouble);
 
 #endif
