--- a/review/standin/scenario_silent.c
+++ b/review/standin/scenario_silent.c
@@ -6,7 +6,7 @@
 
 #define DRAIN_MS   3000 /* bounds of a small deployment */
 #define CONTACT_MS 4000
-#define HOSTS	   6
+#define HOSTS	   4
 #define RATE_MS	   6 /* between two requests */
 
 static const route_t route = {.ip = 0xc6120001, .port = 443, .type = "unsafe",
