--- a/review/standin/clients.c
+++ b/review/standin/clients.c
@@ -397,3 +397,28 @@
 		if (flows[i].phase != FREE)
 			tick_flow(&flows[i]);
 }
+
+static double seconds(uint64_t ms)
+{
+	return (double)ms / 1000;
+}
+
+void record_requests(void)
+{
+	record("all requests: number, sent, its host, began to run, answered "
+	       "(seconds; - for never)");
+	for (size_t i = 0; i < request_count; i++) {
+		const request_t *r = &requests[i];
+		char ran[32] = "-", answered[32] = "-";
+
+		if (r->ran)
+			snprintf(ran, sizeof(ran), "%.3f", seconds(r->ran_ms));
+		if (r->answered)
+			snprintf(answered, sizeof(answered), "%.3f",
+				 seconds(r->answered_ms));
+		record("%llu %.3f %s %s %s%s", (unsigned long long)r->id,
+		       seconds(r->sent_ms),
+		       r->ran ? hosts[r->host].id : "-", ran, answered,
+		       r->reset_open ? " reset" : "");
+	}
+}
--- a/review/standin/scenario_silent.c
+++ b/review/standin/scenario_silent.c
@@ -118,6 +118,7 @@
 	       "their requests were accepted and never answered",
 	       (unsigned long long)broken, (unsigned long long)broken_later,
 	       (unsigned long long)late_lost);
+	record_requests();
 	if (answered * 10 < request_count * 8)
 		return 2;
 	return broken > 0 ? 1 : 0;
--- a/review/standin/scenario_syn_ack.c
+++ b/review/standin/scenario_syn_ack.c
@@ -68,6 +68,7 @@
 	       "by the system; %llu clients got a reset",
 	       (unsigned long long)host_resets, (unsigned long long)open_resets,
 	       (unsigned long long)reset);
+	record_requests();
 	if (answered * 10 < request_count * 8)
 		return 2;
 	return host_resets + open_resets > 0 ? 1 : 0;
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -149,6 +149,8 @@
 extern uint64_t open_resets; /* resets of the system on open flows */
 void client_handle(size_t index);
 void clients_tick(void);
+/* Writes a line into the record for each request. */
+void record_requests(void);
 extern int client_fds[CLIENTS_MAX];
 extern size_t client_count;
 
