--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p bin
-cc -std=gnu11 -O1 -g -Wall -Wextra -D_GNU_SOURCE -o bin/standin standin/*.c
+"${CC:-gcc}" -std=gnu11 -O1 -g -Wall -Wextra -D_GNU_SOURCE -o bin/standin standin/*.c
--- a/review/standin/base.c
+++ b/review/standin/base.c
@@ -35,7 +35,8 @@
 
 	if (!record_file)
 		record_file = fopen(getenv("RECORD") ? getenv("RECORD")
-						     : "record.txt", "w");
+						     : "record.txt",
+				    "w");
 	if (!record_file)
 		exit(2);
 	fprintf(record_file, "%8.3f ", (double)now_ms() / 1000);
@@ -169,8 +170,13 @@
 uint32_t packet_sum(const packet_t *p)
 {
 	uint64_t h = 0x6a09e667f3bcc908u;
-	uint32_t fields[] = {p->len, p->seq, p->ack, p->flags & ~16u, p->src,
-			     p->dst, (uint32_t)p->sport << 16 | p->dport};
+	uint32_t fields[] = {p->len,
+			     p->seq,
+			     p->ack,
+			     p->flags & ~16u,
+			     p->src,
+			     p->dst,
+			     (uint32_t)p->sport << 16 | p->dport};
 
 	for (size_t i = 0; i < ARRAY_SIZE(fields); i++)
 		h = (h ^ fields[i]) * 0x100000001b3u + 0x9e3779b9u;
--- a/review/standin/clients.c
+++ b/review/standin/clients.c
@@ -9,17 +9,23 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define FLOWS_MAX 8192
-#define ATTEMPTS_MAX 3
+#define FLOWS_MAX     8192
+#define ATTEMPTS_MAX  3
 #define REQUEST_BYTES 900
 
-typedef enum phase { FREE, OPENING, WAITING, IDLE, ENDING } phase_t;
+typedef enum phase {
+	FREE,
+	OPENING,
+	WAITING,
+	IDLE,
+	ENDING
+} phase_t;
 
 typedef struct client_flow {
 	phase_t phase;
 	size_t client;
 	uint16_t port;
-	uint64_t request; /* number, from 1 */
+	uint64_t request;	 /* number, from 1 */
 	uint32_t seq, ack, echo; /* seq: next data, once the flow is open */
 	uint64_t start_ms, send_ms;
 	int left; /* requests that follow on this flow */
@@ -64,8 +70,8 @@
 static void begin_probe(size_t i)
 {
 	struct sockaddr_in to = socket_address(INSTANCE_IP(i), READY_PORT);
-	static const char text[] =
-		"GET /v1/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+	static const char text[] = "GET /v1/ready HTTP/1.1\r\nHost: "
+				   "x\r\nConnection: close\r\n\r\n";
 
 	probes[i].fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	probes[i].sent_ms = now_ms();
@@ -86,8 +92,7 @@
 				   MSG_DONTWAIT);
 			if (len > 0)
 				end_probe(i, strstr(text, " 200 ") != NULL);
-			else if (len == 0 ||
-				 now_ms() - probes[i].sent_ms > 450)
+			else if (len == 0 || now_ms() - probes[i].sent_ms > 450)
 				end_probe(i, false);
 		}
 		if (probes[i].fd <= 0 && now_ms() - probes[i].sent_ms >= 500)
@@ -133,9 +138,14 @@
 			uint32_t ack, const void *data, uint16_t len)
 {
 	const route_t *route = requests[flow->request - 1].route;
-	packet_t p = {.len = len, .seq = seq, .ack = ack, .flags = flags,
-		      .src = CLIENT_IP(flow->client), .dst = route->ip,
-		      .sport = flow->port, .dport = route->port,
+	packet_t p = {.len = len,
+		      .seq = seq,
+		      .ack = ack,
+		      .flags = flags,
+		      .src = CLIENT_IP(flow->client),
+		      .dst = route->ip,
+		      .sport = flow->port,
+		      .dport = route->port,
 		      .echo = flow->echo};
 	uint8_t bytes[HEAD_BYTES + DATA_MAX];
 	struct sockaddr_in to;
@@ -191,9 +201,11 @@
 			flow = &flows[i];
 	if (!flow)
 		exit(2);
-	*flow = (client_flow_t){.phase = OPENING, .client = client,
+	*flow = (client_flow_t){.phase = OPENING,
+				.client = client,
 				.port = next_port[client]++,
-				.request = request, .seq = (uint32_t)rand(),
+				.request = request,
+				.seq = (uint32_t)rand(),
 				.left = left,
 				.start_ms = now_ms()};
 	if (next_port[client] < 40000)
@@ -208,7 +220,9 @@
 
 	if (request_count == REQUESTS_MAX)
 		exit(2);
-	*request = (request_t){.id = request_count, .route = route, .host = -1,
+	*request = (request_t){.id = request_count,
+			       .route = route,
+			       .host = -1,
 			       .sent_ms = now_ms()};
 	attempt(request_count, requests_per_flow - 1);
 }
@@ -283,8 +297,11 @@
 
 	if (request_count == REQUESTS_MAX)
 		exit(2);
-	*request = (request_t){.id = request_count, .route = route, .host = -1,
-			       .sent_ms = now_ms(), .opened = true,
+	*request = (request_t){.id = request_count,
+			       .route = route,
+			       .host = -1,
+			       .sent_ms = now_ms(),
+			       .opened = true,
 			       .attempts = ATTEMPTS_MAX};
 	flow->request = request_count;
 	flow->left--;
@@ -417,8 +434,7 @@
 			snprintf(answered, sizeof(answered), "%.3f",
 				 seconds(r->answered_ms));
 		record("%llu %.3f %s %s %s%s", (unsigned long long)r->id,
-		       seconds(r->sent_ms),
-		       r->ran ? hosts[r->host].id : "-", ran, answered,
-		       r->reset_open ? " reset" : "");
+		       seconds(r->sent_ms), r->ran ? hosts[r->host].id : "-",
+		       ran, answered, r->reset_open ? " reset" : "");
 	}
 }
--- a/review/standin/hosts.c
+++ b/review/standin/hosts.c
@@ -5,7 +5,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#define FLOWS_MAX 20000
+#define FLOWS_MAX      20000
 #define RESPONSE_BYTES 600
 #define SENDS_MAX      9 /* a packet and 8 retransmissions */
 
@@ -17,9 +17,9 @@
 	uint32_t seq;	   /* next of the host */
 	uint32_t expected; /* next of the client */
 	uint32_t echo;
-	uint64_t request;  /* in progress; 0: none */
-	uint64_t done_ms;  /* when the work ends */
-	uint64_t send_ms;  /* when the response is sent again */
+	uint64_t request; /* in progress; 0: none */
+	uint64_t done_ms; /* when the work ends */
+	uint64_t send_ms; /* when the response is sent again */
 	uint32_t wait_ms;
 	int sent;
 } host_flow_t;
@@ -134,9 +134,14 @@
 static void reply(const host_t *host, host_flow_t *flow, uint8_t flags,
 		  uint32_t seq, const void *data, uint16_t len)
 {
-	packet_t p = {.len = len, .seq = seq, .ack = flow->expected,
-		      .flags = flags, .src = flow->dst, .dst = flow->src,
-		      .sport = flow->dport, .dport = flow->sport,
+	packet_t p = {.len = len,
+		      .seq = seq,
+		      .ack = flow->expected,
+		      .flags = flags,
+		      .src = flow->dst,
+		      .dst = flow->src,
+		      .sport = flow->dport,
+		      .dport = flow->sport,
 		      .echo = flow->echo};
 
 	if (len)
@@ -161,8 +166,12 @@
 static void send_rst(const host_t *host, const packet_t *in)
 {
 	const host_flow_t *open = find_open(in);
-	packet_t p = {.seq = in->ack, .flags = RST, .src = in->dst,
-		      .dst = in->src, .sport = in->dport, .dport = in->sport,
+	packet_t p = {.seq = in->ack,
+		      .flags = RST,
+		      .src = in->dst,
+		      .dst = in->src,
+		      .sport = in->dport,
+		      .dport = in->sport,
 		      .echo = in->echo};
 
 	if (in->flags & RST)
@@ -190,8 +199,11 @@
 
 		if (f->used)
 			continue;
-		*f = (host_flow_t){.used = true, .host = host, .src = p->src,
-				   .dst = p->dst, .sport = p->sport,
+		*f = (host_flow_t){.used = true,
+				   .host = host,
+				   .src = p->src,
+				   .dst = p->dst,
+				   .sport = p->sport,
 				   .dport = p->dport};
 		return f;
 	}
@@ -293,7 +305,8 @@
 
 	if (p->sum != packet_sum(p)) {
 		broken_packets++;
-		record("host %s got a packet that was not written so", host->id);
+		record("host %s got a packet that was not written so",
+		       host->id);
 		return;
 	}
 	if (p->flags & SYN) {
@@ -325,7 +338,8 @@
 		flow->wait_ms = 0;
 		host->opened++;
 	}
-	if (flow->request && flow->sent && p->ack == flow->seq + RESPONSE_BYTES) {
+	if (flow->request && flow->sent &&
+	    p->ack == flow->seq + RESPONSE_BYTES) {
 		flow->seq += RESPONSE_BYTES;
 		flow->request = 0;
 	}
--- a/review/standin/scenario_silent.c
+++ b/review/standin/scenario_silent.c
@@ -9,9 +9,13 @@
 #define HOSTS	   4
 #define RATE_MS	   6 /* between two requests */
 
-static const route_t route = {.ip = 0xc6120001, .port = 443, .type = "unsafe",
-			      .service = "fieldline", .timeout_ms = 2000,
-			      .target_ms = 300, .priority = 1};
+static const route_t route = {.ip = 0xc6120001,
+			      .port = 443,
+			      .type = "unsafe",
+			      .service = "fieldline",
+			      .timeout_ms = 2000,
+			      .target_ms = 300,
+			      .priority = 1};
 static uint64_t silent_ms; /* time of the disruption; 0: none */
 static uint64_t next_ms;
 static uint64_t broken;
--- a/review/standin/scenario_syn_ack.c
+++ b/review/standin/scenario_syn_ack.c
@@ -12,9 +12,13 @@
 #define REQUESTS  8  /* on each flow */
 #define LENGTH_MS 60000
 
-static const route_t route = {.ip = 0xc6120001, .port = 443, .type = "unsafe",
-			      .service = "fieldline", .timeout_ms = 2000,
-			      .target_ms = 300, .priority = 1};
+static const route_t route = {.ip = 0xc6120001,
+			      .port = 443,
+			      .type = "unsafe",
+			      .service = "fieldline",
+			      .timeout_ms = 2000,
+			      .target_ms = 300,
+			      .priority = 1};
 static uint64_t next_ms;
 static uint64_t host_resets;
 
@@ -57,14 +61,17 @@
 		lost += requests[i].opened && !requests[i].answered;
 		reset += requests[i].reset_open;
 	}
-	record("%zu requests: %llu answered, %llu sent on an open flow and never "
-	       "answered", request_count, (unsigned long long)answered,
+	record("%zu requests: %llu answered, %llu sent on an open flow and "
+	       "never "
+	       "answered",
+	       request_count, (unsigned long long)answered,
 	       (unsigned long long)lost);
 	record("%llu SYN+ACKs were lost, of %llu datagrams that hosts and "
 	       "clients sent",
 	       (unsigned long long)syn_acks_lost,
 	       (unsigned long long)datagrams);
-	record("FLOW broken: %llu flows reset by a host that is not theirs, %llu "
+	record("FLOW broken: %llu flows reset by a host that is not theirs, "
+	       "%llu "
 	       "by the system; %llu clients got a reset",
 	       (unsigned long long)host_resets, (unsigned long long)open_resets,
 	       (unsigned long long)reset);
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -22,14 +22,14 @@
 
 /* Addresses: 127.A.B.C, from the base that run.sh gives. */
 extern uint32_t base_ip; /* 127.A.B.0 in host byte order */
-#define STORE_IP     (base_ip + 1)
+#define STORE_IP       (base_ip + 1)
 #define INSTANCE_IP(i) (base_ip + 10 + (uint32_t)(i))
 #define HOST_IP(i)     (base_ip + 100 + (uint32_t)(i))
 #define CLIENT_IP(i)   (base_ip + 200 + (uint32_t)(i))
-#define STORE_PORT  7001
-#define PACKET_PORT 7100
-#define READY_PORT  7101
-#define HOST_PORT   8080
+#define STORE_PORT     7001
+#define PACKET_PORT    7100
+#define READY_PORT     7101
+#define HOST_PORT      8080
 int udp_socket(uint32_t ip, uint16_t port);
 int tcp_listen(uint32_t ip, uint16_t port);
 struct sockaddr_in socket_address(uint32_t ip, uint16_t port);
@@ -60,7 +60,12 @@
 extern uint64_t store_calls;
 
 /* Packets. */
-enum { SYN = 32, ACK = 128, FIN = 4, RST = 1 };
+enum {
+	SYN = 32,
+	ACK = 128,
+	FIN = 4,
+	RST = 1
+};
 #define HEAD_BYTES 34
 #define DATA_MAX   1200
 typedef struct packet {
@@ -129,13 +134,13 @@
 typedef struct request {
 	uint64_t id;
 	const route_t *route;
-	bool opened;   /* a host has answered the SYN */
+	bool opened; /* a host has answered the SYN */
 	bool ran;
 	bool answered;
-	bool refused;  /* an attempt ended with a reset before it opened */
+	bool refused; /* an attempt ended with a reset before it opened */
 	bool reset_open;
 	bool over;
-	int host;      /* on which it opened, or ran */
+	int host; /* on which it opened, or ran */
 	uint64_t sent_ms, opened_ms, ran_ms, answered_ms;
 	int attempts;
 } request_t;
