--- a/review/standin-2/bed.c
+++ b/review/standin-2/bed.c
@@ -533,27 +533,42 @@
 	free(value.p);
 }
 
-static void register_host(bed_host_t *host)
+static void write_entry(const char *key, const char *service, uint32_t ip,
+			const char *state, uint64_t seq)
 {
-	char key[64], address[32];
+	char address[32];
 	buf_t value = {0};
 
-	snprintf(key, sizeof(key), "servers/%s", host->id);
-	snprintf(address, sizeof(address), "%s:%d", bed_ip_text(host->ip),
+	snprintf(address, sizeof(address), "%s:%d", bed_ip_text(ip),
 		 BED_PORT_HOST);
 	cbor_map(&value, 8);
-	cbor_key_text(&value, "service", host->service);
+	cbor_key_text(&value, "service", service);
 	cbor_key_text(&value, "address", address);
 	cbor_key_text(&value, "zone", "macon-a");
 	cbor_key_text(&value, "version", "v1");
 	cbor_key_uint(&value, "slots", 3);
-	cbor_key_text(&value, "state", host->state);
+	cbor_key_text(&value, "state", state);
 	cbor_key_uint(&value, "cold_ms", 0);
-	cbor_key_uint(&value, "seq", ++host->seq);
+	cbor_key_uint(&value, "seq", seq);
 	store_write(key, &value);
 	free(value.p);
 }
 
+void bed_write_entry(const char *key, const char *service, uint32_t ip)
+{
+	bed_record("another writer writes %s: service %s, address %s", key,
+		   service, bed_ip_text(ip));
+	write_entry(key, service, ip, "ready", 1);
+}
+
+static void register_host(bed_host_t *host)
+{
+	char key[64];
+
+	snprintf(key, sizeof(key), "servers/%s", host->id);
+	write_entry(key, host->service, host->ip, host->state, ++host->seq);
+}
+
 /* ---- packets ---- */
 
 static uint32_t get32(const uint8_t *p)
@@ -762,6 +777,8 @@
 	flow->text[0] = '\0';
 }
 
+static void note_place(const packet_t *p, bool own);
+
 static void host_packet(int index, const uint8_t *in, size_t len)
 {
 	bed_host_t *host = &bed_hosts[index];
@@ -772,9 +789,12 @@
 	if (len < 8 + HEAD || !decode(&p, in + 8, len - 8))
 		return;
 	number = (uint64_t)get32(in) << 32 | get32(in + 4);
-	if (number != 0 && number != host->number)
+	if (number != 0 && number != host->number) {
+		note_place(&p, false);
 		return; /* not the intended host */
+	}
 	flow = find_host_flow(index, &p);
+	note_place(&p, flow && flow->open);
 	if (p.sum != 0 && p.sum != sum_of(in + 8, len - 8))
 		bed_record("host %s gets a packet that its sender didn't write",
 			   host->id);
@@ -1043,6 +1063,24 @@
 	return NULL;
 }
 
+/* Counts a packet of an open flow by whether its own host has got it. */
+static void note_place(const packet_t *p, bool own)
+{
+	for (int i = 0; i < BED_FLOWS_MAX; i++) {
+		bed_flow_t *f = &bed_flows[i];
+
+		if (!f->used || !f->served || f->client_port != p->sport ||
+		    f->route_port != p->dport)
+			continue;
+		f->astray_last = bed_now();
+		if (own)
+			f->astray = 0;
+		else if (f->astray++ == 0)
+			f->astray_since = f->astray_last;
+		return;
+	}
+}
+
 static int host_at(uint32_t ip)
 {
 	for (int i = 0; i < bed_host_count; i++)
--- a/review/standin-2/bed.h
+++ b/review/standin-2/bed.h
@@ -60,6 +60,10 @@
 	bed_result_t result;
 	int pinned;    /* instance that the router uses, or -1 */
 	int last_host; /* host of the response or reset, or -1 */
+	/* Packets at hosts that do not hold the flow, since the last one at
+	 * its own host. */
+	unsigned astray;
+	double astray_since, astray_last;
 	bool is_long;
 	double next_request;
 } bed_flow_t;
@@ -105,6 +109,9 @@
 /** Starts a host and registers it. The id's hex digits are its number. */
 int bed_start_host(const char *id, const char *service);
 
+/** Writes an entry under another key, as a writer that is no host may. */
+void bed_write_entry(const char *key, const char *service, uint32_t ip);
+
 /** Writes a configuration: `routes` is a CBOR array that bed_routes_end ended.
  * Returns when the store has acknowledged it, which is at once. */
 void bed_routes_begin(size_t count);
