route table: a route may be split over any number of services

Callers saw all requests refused on a new route that was split over nine services, and requests served on a route that the same version had dropped, for as long as the operator kept the split. Instances that started then never became ready.

Cause: a route held its shares in an array of eight. The decoder refused a longer list, and with it the whole configuration, so the one before stayed in force (event 2013, and no 2010 for that version). The platform has no such limit.

The shares of all routes of a configuration are now allocated together.

--- a/include/carobtrail/catalog.h
+++ b/include/carobtrail/catalog.h
@@ -47,7 +47,7 @@
 	uint32_t timeout_ms;
 	uint32_t priority;
 	size_t share_count;
-	carob_catalog_share_t shares[CAROB_ROUTE_SHARES_MAX];
+	const carob_catalog_share_t *shares; /* borrowed */
 } carob_catalog_route_t;
 
 /** What a configuration says of a service; see carob_service_config_t. */
--- a/include/carobtrail/route_table.h
+++ b/include/carobtrail/route_table.h
@@ -15,9 +15,6 @@
 	uint32_t weight;
 } carob_route_share_t;
 
-/** Maximum number of services among which a route is split. */
-#define CAROB_ROUTE_SHARES_MAX 8
-
 /** One route of a configuration. */
 typedef struct carob_route {
 	carob_endpoint_t endpoint;
@@ -27,7 +24,7 @@
 	uint32_t timeout_ms;
 	uint32_t priority; /* 0 is the highest priority */
 	size_t share_count;
-	carob_route_share_t shares[CAROB_ROUTE_SHARES_MAX];
+	const carob_route_share_t *shares; /* borrowed; in a table: its own */
 } carob_route_t;
 
 /** What the configuration says of a service's cold upstreams. */
@@ -59,8 +56,9 @@
 	 * before the first configuration.
 	 */
 	uint32_t *buckets;
-	size_t bucket_count;	   /* a power of two */
-	carob_endpoint_t *dropped; /* routes that only earlier versions had */
+	size_t bucket_count;	     /* a power of two */
+	carob_route_share_t *shares; /* of all routes, one after the other */
+	carob_endpoint_t *dropped;   /* routes that only earlier versions had */
 	size_t dropped_count;
 } carob_route_table_t;
 
@@ -75,7 +73,8 @@
  * Puts a configuration in force.
  *
  * @param table the table
- * @param config the configuration; its routes and services are copied.
+ * @param config the configuration; its routes, with their shares, and its
+ * services are copied.
  * `least_priority` is computed from the routes if it is lower than theirs.
  * @return 0; CAROB_ESTALE if the version is not higher than the one in force;
  *         or CAROB_ENOMEM. On failure the table is unchanged.
--- a/src/flow/sources/catalog.c
+++ b/src/flow/sources/catalog.c
@@ -160,7 +160,8 @@
 					  CONTACT_GAP_NS;
 }
 
-static int copy_route(carob_route_t *out, const carob_catalog_route_t *route,
+static int copy_route(carob_route_t *out, carob_route_share_t *shares,
+		      const carob_catalog_route_t *route,
 		      carob_name_table_t *services)
 {
 	int error = 0;
@@ -171,9 +172,10 @@
 	out->timeout_ms = route->timeout_ms;
 	out->priority = route->priority;
 	out->share_count = route->share_count;
+	out->shares = shares;
 	for (size_t i = 0; !error && i < route->share_count; i++) {
-		out->shares[i].weight = route->shares[i].weight;
-		error = carob_name_table_add(&out->shares[i].service, services,
+		shares[i].weight = route->shares[i].weight;
+		error = carob_name_table_add(&shares[i].service, services,
 					     route->shares[i].service);
 	}
 	return error;
@@ -188,24 +190,39 @@
 	return carob_name_table_add(&out->service, services, service->name);
 }
 
-static int copy_config(carob_route_config_t *out,
+static size_t count_shares(const carob_catalog_config_t *config)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < config->count; i++)
+		count += config->routes[i].share_count;
+	return count;
+}
+
+/* `shares` receives the shares of all routes, owned by the caller. */
+static int copy_config(carob_route_config_t *out, carob_route_share_t **shares,
 		       const carob_catalog_config_t *config,
 		       carob_name_table_t *services)
 {
+	size_t share_count = count_shares(config);
+	size_t used = 0;
 	int error = 0;
 
+	*shares = calloc(share_count ? share_count : 1, sizeof(**shares));
 	out->routes =
 		calloc(config->count ? config->count : 1, sizeof(*out->routes));
 	out->services =
 		calloc(config->service_count ? config->service_count : 1,
 		       sizeof(*out->services));
-	if (!out->routes || !out->services)
+	if (!*shares || !out->routes || !out->services)
 		return carob_error_set(CAROB_ENOMEM,
 				       "cannot allocate routes of a "
 				       "configuration");
-	for (size_t i = 0; !error && i < config->count; i++)
-		error = copy_route(&out->routes[i], &config->routes[i],
-				   services);
+	for (size_t i = 0; !error && i < config->count; i++) {
+		error = copy_route(&out->routes[i], *shares + used,
+				   &config->routes[i], services);
+		used += config->routes[i].share_count;
+	}
 	for (size_t i = 0; !error && i < config->service_count; i++)
 		error = copy_service(&out->services[i], &config->services[i],
 				     services);
@@ -236,11 +253,13 @@
 		.count = config->count,
 		.service_count = config->service_count,
 	};
-	int error = copy_config(&next, config,
+	carob_route_share_t *shares = NULL;
+	int error = copy_config(&next, &shares, config,
 				&catalog->options.upstreams->services);
 
 	if (!error)
 		error = carob_route_table_apply(catalog->options.routes, &next);
+	free(shares);
 	free(next.routes);
 	free(next.services);
 	/* A version in force is not logged again: each listing contains it. */
--- a/src/flow/tables/route_table.c
+++ b/src/flow/tables/route_table.c
@@ -85,6 +85,40 @@
 	return 0;
 }
 
+static size_t count_shares(const carob_route_config_t *config)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < config->count; i++)
+		count += config->routes[i].share_count;
+	return count;
+}
+
+static int copy_routes(carob_route_table_t *table,
+		       const carob_route_config_t *config)
+{
+	size_t share_count = count_shares(config);
+	carob_route_share_t *shares;
+
+	table->config.routes = calloc(config->count ? config->count : 1,
+				      sizeof(*config->routes));
+	table->shares =
+		calloc(share_count ? share_count : 1, sizeof(*table->shares));
+	if (!table->config.routes || !table->shares)
+		return carob_error_set(CAROB_ENOMEM,
+				       "cannot allocate route table");
+	shares = table->shares;
+	for (size_t i = 0; i < config->count; i++) {
+		carob_route_t *route = &table->config.routes[i];
+
+		*route = config->routes[i];
+		route->shares = shares;
+		for (size_t k = 0; k < route->share_count; k++)
+			*shares++ = config->routes[i].shares[k];
+	}
+	return 0;
+}
+
 static int build_table(carob_route_table_t *table,
 		       const carob_route_config_t *config,
 		       const carob_route_table_t *previous)
@@ -96,17 +130,15 @@
 		table->bucket_count *= 2;
 	table->buckets = calloc(table->bucket_count, sizeof(*table->buckets));
 	table->config = *config;
+	table->config.routes = NULL;
 	error = copy_services(&table->config, config);
-	table->config.routes = calloc(config->count ? config->count : 1,
-				      sizeof(*config->routes));
-	if (!table->buckets || !table->config.routes)
-		return carob_error_set(CAROB_ENOMEM,
-				       "cannot allocate route table");
+	if (!error)
+		error = copy_routes(table, config);
 	if (error)
 		return error;
-	if (config->count)
-		memcpy(table->config.routes, config->routes,
-		       config->count * sizeof(*config->routes));
+	if (!table->buckets)
+		return carob_error_set(CAROB_ENOMEM,
+				       "cannot allocate route table");
 	for (size_t i = 0; i < config->count; i++)
 		if (config->routes[i].priority > table->config.least_priority)
 			table->config.least_priority =
@@ -194,6 +226,7 @@
 {
 	free(table->config.routes);
 	free(table->config.services);
+	free(table->shares);
 	free(table->buckets);
 	free(table->dropped);
 	memset(table, 0, sizeof(*table));
--- a/tests/platform/items_test.c
+++ b/tests/platform/items_test.c
@@ -283,6 +283,56 @@
 	platform_items_free(items);
 }
 
+/* Appends a configuration with one route over `count` services, s0 with the
+ * weight 1, s1 with 2, and so on. */
+static void append_split(carob_buf_t *body, size_t count)
+{
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t json = CAROB_BUF_INIT;
+
+	CU_ASSERT_EQUAL(carob_buf_printf(&json, "{\"version\":7,\"routes\":[{"
+						"\"hostname\":\"198.18.0.1\","
+						"\"prefix\":\"/443/\","
+						"\"traffic_split\":["),
+			0);
+	for (size_t i = 0; i < count; i++)
+		CU_ASSERT_EQUAL(carob_buf_printf(&json,
+						 "%s{\"service\":\"s%zu\","
+						 "\"weight\":%zu}",
+						 i ? "," : "", i, i + 1),
+				0);
+	CU_ASSERT_EQUAL(carob_buf_printf(&json, "]}]}"), 0);
+	append_item(body, "op/config", json.ptr, 3);
+}
+
+/* A route over more services than a fixed array held made the instance refuse
+ * the whole configuration and go on with the one before. */
+static void test_split_over_many_services(void)
+{
+	static const size_t counts[] = {1, 8, 9, 100};
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(counts); i++) {
+		CAROB_CLEANUP(carob_buf_dispose)
+		carob_buf_t body = CAROB_BUF_INIT;
+		platform_items_t *items = NULL;
+		const carob_catalog_reply_t *reply;
+		const carob_catalog_route_t *route;
+
+		begin_events(&body);
+		append_split(&body, counts[i]);
+		reply = finish_and_decode(&items, &body);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(reply);
+		if (!reply)
+			return;
+		CU_ASSERT_EQUAL_FATAL(reply->changes[0].kind,
+				      CAROB_CATALOG_CONFIG);
+		route = &reply->changes[0].config.routes[0];
+		CU_ASSERT_EQUAL_FATAL(route->share_count, counts[i]);
+		for (size_t k = 0; k < counts[i]; k++)
+			CU_ASSERT_EQUAL(route->shares[k].weight, k + 1);
+		platform_items_free(items);
+	}
+}
+
 static void test_malformed_bodies(void)
 {
 	static const char *const bodies[] = {
@@ -397,6 +447,7 @@
 		{"evacuations of zones", test_evacuations},
 		{"two configurations in one response",
 		 test_two_configurations_in_one_response},
+		{"route over many services", test_split_over_many_services},
 		{"malformed response bodies", test_malformed_bodies},
 		{"malformed or unsupported CBOR", test_invalid_cbor},
 		{"fails as such when memory runs out", test_out_of_memory},
