catalog: changes longer than a listing are listed on slow links

Callers' requests were sent to draining upstreams more than 5 s after the store had accepted the drain (DRAIN), by instances on links of 10 Mbit/s that the store had turned away during a storm of large configurations.

Cause: a watch returns each version as it was written, and the store ends a response after about 1 MB. An instance that was behind read every version that it had missed, 1.7 to 1.9 s for three, and a drain waited behind them; a pause of 2 s followed, as only 250 changes counted as a backlog.

A longer one is given up at its header and the catalogue is listed, which has each item once. After 512 KB the next watch comes at once, and the pause runs from when the platform confirmed the response. On fast links the same lag came from the limit of a response and the pause alone. A reader passes on the age from the beginning of its own transfer.

--- a/include/carobtrail/catalog.h
+++ b/include/carobtrail/catalog.h
@@ -109,9 +109,13 @@
 	uint64_t era;
 	/** On failure: a response had begun, but is too long to be read. */
 	bool partial;
-	/** Time since the platform confirmed the response, in milliseconds; 0
-	 * if it comes from the platform itself. */
+	/**
+	 * Time since the platform confirmed the response, in milliseconds: how
+	 * long it took to arrive, and for a response of another instance how
+	 * old it was when that sent it.
+	 */
 	uint32_t age_ms;
+	size_t bytes; /* length of the body */
 	carob_catalog_pace_t pace;
 	uint64_t revision;    /* the next watch continues from here */
 	bool truncated;	      /* another page follows */
@@ -120,6 +124,15 @@
 	const carob_catalog_change_t *changes;
 } carob_catalog_reply_t;
 
+/** A watch: reads the changes after a revision (a long poll). */
+typedef struct carob_catalog_watch {
+	uint64_t after;	     /* the revision */
+	uint32_t wait_ms;    /* longest wait if there are no changes */
+	uint32_t timeout_ms; /* longest time without a byte */
+	/** A longer response fails at once, as `partial`; 0: no limit. */
+	size_t bytes_max;
+} carob_catalog_watch_t;
+
 typedef struct carob_catalog_source carob_catalog_source_t;
 typedef struct carob_catalog_reader carob_catalog_reader_t;
 
@@ -139,14 +152,10 @@
 	void (*list)(carob_catalog_source_t *source,
 		     carob_catalog_reader_t *reader, carob_str_t after,
 		     uint32_t timeout_ms);
-	/**
-	 * Reads the changes after a revision (a long poll): waits up to
-	 * `wait_ms` if there are none. The read fails if the connection stays
-	 * silent for `timeout_ms`.
-	 */
+	/** Reads changes. */
 	void (*watch)(carob_catalog_source_t *source,
-		      carob_catalog_reader_t *reader, uint64_t after,
-		      uint32_t wait_ms, uint32_t timeout_ms);
+		      carob_catalog_reader_t *reader,
+		      const carob_catalog_watch_t *watch);
 	/** Cancels the read in progress; `done` is not called. */
 	void (*cancel)(carob_catalog_source_t *source);
 } carob_catalog_source_ops_t;
@@ -185,6 +194,7 @@
 	 * accepted it, in milliseconds.
 	 */
 	uint32_t apply_ms;
+	double link_mbps; /* rate of the own link; 0: not known */
 	carob_catalog_listener_t *listener; /* NULL: none */
 	uint64_t seed; /* seed of the jitter that spreads instances' retries */
 } carob_catalog_options_t;
--- a/src/flow/sources/catalog.c
+++ b/src/flow/sources/catalog.c
@@ -24,9 +24,15 @@
  * call is a cost, so the pause lets one call read a whole burst. */
 #define BURST_PAUSE_MS(apply_ms)	((apply_ms)*2 / 5)
 #define READER_BURST_PAUSE_MS(apply_ms) ((apply_ms) / 6)
-/* A watch returns some 500 changes at most. After this many, more may wait, and
- * are read at once. */
+/* A watch returns some 500 changes or 1 MB at most. After half of either, more
+ * may wait, and are read at once. */
 #define BACKLOG_CHANGES 250
+#define BACKLOG_BYTES	((size_t)512 * 1024)
+/* Changes that the link carries within this part of the time in which they must
+ * be in force are read as they are. If there are more, a listing may be
+ * shorter: it has one version of each item. */
+#define LINK_PART_MS(apply_ms) ((apply_ms) / 16.0)
+#define BYTES_PER_MBIT	       (1e6 / 8)
 /* Upstreams that are alive restore entries which expired in an outage, or which
  * the platform lost, within 2 s after it. Another second is for the read that
  * returns the entries. */
@@ -54,6 +60,8 @@
 	catalog_read_t reading;
 	carob_buf_t page_after; /* last key of the previous page */
 	uint64_t page_revision; /* revision of the first page */
+	size_t page_bytes;	/* length of the pages read so far */
+	size_t list_bytes;	/* length of the last complete listing */
 	bool listed;		/* a complete listing has been read */
 	bool complete;		/* see carob_catalog_complete */
 	bool has_era;		/* a response has said its era */
@@ -89,17 +97,34 @@
 					   LIST_TIMEOUT_MS);
 }
 
+/* Returns the length of changes from which on a listing is read instead. */
+static size_t changes_bytes_max(const carob_catalog_t *catalog)
+{
+	double link_bytes = catalog->options.link_mbps * BYTES_PER_MBIT *
+			    LINK_PART_MS(catalog->options.apply_ms) / 1000;
+
+	if (catalog->options.link_mbps <= 0)
+		return 0;
+	return link_bytes > (double)catalog->list_bytes ? (size_t)link_bytes
+							: catalog->list_bytes;
+}
+
 static void read_changes(carob_catalog_t *catalog)
 {
 	bool probe = catalog->failures > 0;
 	uint32_t contact_ms = catalog->options.contact_ms;
+	const carob_catalog_watch_t watch = {
+		.after = catalog->revision,
+		.wait_ms = probe ? PROBE_WAIT_MS : WATCH_WAIT_MS(contact_ms),
+		.timeout_ms = probe ? PROBE_TIMEOUT_MS
+				    : WATCH_TIMEOUT_MS(contact_ms),
+		.bytes_max = changes_bytes_max(catalog),
+	};
 
 	catalog->reading = READ_CHANGES;
 	catalog->counters.watches++;
-	catalog->options.source->ops->watch(
-		catalog->options.source, &catalog->reader, catalog->revision,
-		probe ? PROBE_WAIT_MS : WATCH_WAIT_MS(contact_ms),
-		probe ? PROBE_TIMEOUT_MS : WATCH_TIMEOUT_MS(contact_ms));
+	catalog->options.source->ops->watch(catalog->options.source,
+					    &catalog->reader, &watch);
 }
 
 static void on_read_timer(carob_timer_t *timer)
@@ -560,8 +585,11 @@
 static void on_page(carob_catalog_t *catalog,
 		    const carob_catalog_reply_t *reply)
 {
-	if (catalog->page_after.len == 0)
+	if (catalog->page_after.len == 0) {
 		catalog->page_revision = reply->revision;
+		catalog->page_bytes = 0;
+	}
+	catalog->page_bytes += reply->bytes;
 	apply_changes(catalog, reply);
 	carob_buf_clear(&catalog->page_after);
 	if (reply->truncated && reply->last_key.len > 0 &&
@@ -579,6 +607,7 @@
 					       catalog->page_revision);
 	end_zone_listing(catalog);
 	catalog->revision = catalog->page_revision;
+	catalog->list_bytes = catalog->page_bytes;
 	catalog->listed = true;
 	check_complete(catalog);
 	CAROB_LOG(CAROB_EV_CATALOG_LISTED,
@@ -588,12 +617,23 @@
 	read_changes(catalog);
 }
 
+/* Returns the pause before the next watch. It runs from when the platform
+ * confirmed the response: later changes wait since then. */
 static uint64_t burst_pause_ms(const carob_catalog_t *catalog,
-			       carob_catalog_pace_t pace)
+			       const carob_catalog_reply_t *reply)
+{
+	uint64_t pause_ms =
+		reply->pace == CAROB_CATALOG_PACE_READER
+			? READER_BURST_PAUSE_MS(catalog->options.apply_ms)
+			: BURST_PAUSE_MS(catalog->options.apply_ms);
+
+	return pause_ms > reply->age_ms ? pause_ms - reply->age_ms : 0;
+}
+
+/* Returns whether more changes may wait than the response could hold. */
+static bool has_backlog(const carob_catalog_reply_t *reply)
 {
-	if (pace == CAROB_CATALOG_PACE_READER)
-		return READER_BURST_PAUSE_MS(catalog->options.apply_ms);
-	return BURST_PAUSE_MS(catalog->options.apply_ms);
+	return reply->count >= BACKLOG_CHANGES || reply->bytes >= BACKLOG_BYTES;
 }
 
 static void on_changes(carob_catalog_t *catalog,
@@ -606,9 +646,9 @@
 					 FORGET_GONE_NS, now_ns(catalog));
 	/* No pause while the instance is starting and its state is still
 	 * incomplete. */
-	if (reply->count > 0 && reply->count < BACKLOG_CHANGES && !was_probe &&
+	if (reply->count > 0 && !has_backlog(reply) && !was_probe &&
 	    catalog->complete && reply->pace != CAROB_CATALOG_PACE_RELAYED)
-		schedule_read(catalog, burst_pause_ms(catalog, reply->pace));
+		schedule_read(catalog, burst_pause_ms(catalog, reply));
 	else
 		read_changes(catalog);
 }
@@ -680,8 +720,7 @@
 }
 
 /* Returns whether a listing must replace the watch: the history of changes is
- * no longer available, or is too long to be read. The listing is shorter
- * then. */
+ * no longer available, or is longer than the listing. */
 static bool needs_listing(const carob_catalog_reply_t *reply,
 			  catalog_read_t reading)
 {
--- a/src/flow/sources/relay_source.c
+++ b/src/flow/sources/relay_source.c
@@ -33,8 +33,8 @@
 	carob_relay_source_options_t options;
 	carob_catalog_reader_t *client; /* the read in progress is for it */
 	relay_via_t via;
-	size_t slot; /* of the reader that is read from */
-	uint64_t after;
+	size_t slot;		     /* of the reader that is read from */
+	carob_catalog_watch_t watch; /* the last one */
 	bool is_reader;
 	bool has_era;
 	uint64_t era; /* highest era of a response */
@@ -91,40 +91,50 @@
 static void watch_store(carob_relay_source_t *relay, uint32_t wait_ms,
 			uint32_t timeout_ms)
 {
+	carob_catalog_watch_t watch = relay->watch;
+
+	watch.wait_ms = wait_ms;
+	watch.timeout_ms = timeout_ms;
 	relay->via = VIA_STORE;
 	relay->options.store->ops->watch(relay->options.store, &relay->reader,
-					 relay->after, wait_ms, timeout_ms);
+					 &watch);
 }
 
 static void watch_peer(carob_relay_source_t *relay, size_t slot)
 {
 	carob_peer_source_t *peer = relay->options.peer;
 	uint32_t apply_ms = relay->options.apply_ms;
+	const carob_catalog_watch_t watch = {
+		.after = relay->watch.after,
+		.wait_ms = PEER_WAIT_MS(apply_ms),
+		.timeout_ms = PEER_TIMEOUT_MS(apply_ms),
+		.bytes_max = relay->watch.bytes_max,
+	};
 
 	if (relay->via != VIA_PEER || relay->slot != slot)
 		CAROB_LOG(CAROB_EV_SOURCE_CHANGED,
 			  CAROB_FIELD_CSTR(
 				  "reader",
 				  relay->options.readers->slots[slot].name),
-			  CAROB_FIELD_U64("revision", relay->after));
+			  CAROB_FIELD_U64("revision", watch.after));
 	relay->via = VIA_PEER;
 	relay->slot = slot;
 	peer->connect(peer, &relay->options.readers->slots[slot]);
-	peer->source.ops->watch(&peer->source, &relay->reader, relay->after,
-				PEER_WAIT_MS(apply_ms),
-				PEER_TIMEOUT_MS(apply_ms));
+	peer->source.ops->watch(&peer->source, &relay->reader, &watch);
 }
 
 static void relay_watch(carob_catalog_source_t *source,
-			carob_catalog_reader_t *reader, uint64_t after,
-			uint32_t wait_ms, uint32_t timeout_ms)
+			carob_catalog_reader_t *reader,
+			const carob_catalog_watch_t *watch)
 {
 	carob_relay_source_t *relay = (carob_relay_source_t *)source;
 	uint32_t reader_wait = READER_WAIT_MS(relay->options.apply_ms);
+	uint32_t timeout_ms = watch->timeout_ms;
+	uint32_t wait_ms = watch->wait_ms;
 	size_t slot = choose_reader(relay);
 
 	relay->client = reader;
-	relay->after = after;
+	relay->watch = *watch;
 	if (slot < CAROB_READER_SLOTS) {
 		watch_peer(relay, slot);
 		return;
--- a/src/flowd/main.c
+++ b/src/flowd/main.c
@@ -367,6 +367,7 @@
 	options.upstreams = &self->upstreams;
 	options.contact_ms = self->settings.contact_ms;
 	options.apply_ms = self->settings.apply_ms;
+	options.link_mbps = self->settings.link_mbps;
 	self->catalog_listener.complete = on_catalog_complete;
 	options.listener = &self->catalog_listener;
 	options.seed = carob_addr_hash(0, &self->settings.packets);
--- a/src/flowd/relay.c
+++ b/src/flowd/relay.c
@@ -33,6 +33,7 @@
 		.era = response->reply->era,
 		.after = response->after,
 		.revision = response->reply->revision,
+		.age_ms = response->reply->age_ms,
 		.has_changes = response->reply->count > 0,
 		.body = response->body,
 	};
--- a/tests/flow/catalog_test.c
+++ b/tests/flow/catalog_test.c
@@ -29,6 +29,7 @@
 	uint64_t revision;   /* argument of the last watch */
 	uint32_t wait_ms;
 	uint32_t timeout_ms;
+	size_t bytes_max;
 	int reads; /* number of reads so far */
 	uint64_t era;
 	bool has_era; /* whether responses say `era` */
@@ -51,16 +52,17 @@
 }
 
 static void fixture_watch(carob_catalog_source_t *source,
-			  carob_catalog_reader_t *reader, uint64_t after,
-			  uint32_t wait_ms, uint32_t timeout_ms)
+			  carob_catalog_reader_t *reader,
+			  const carob_catalog_watch_t *watch)
 {
 	fixture_t *fixture = (fixture_t *)source;
 
 	fixture->reading = READ_WATCH;
 	fixture->reader = reader;
-	fixture->revision = after;
-	fixture->wait_ms = wait_ms;
-	fixture->timeout_ms = timeout_ms;
+	fixture->revision = watch->after;
+	fixture->wait_ms = watch->wait_ms;
+	fixture->timeout_ms = watch->timeout_ms;
+	fixture->bytes_max = watch->bytes_max;
 	fixture->reads++;
 }
 
@@ -80,7 +82,7 @@
 	.cancel = fixture_cancel,
 };
 
-static void fixture_init(fixture_t *fixture)
+static void fixture_init_link(fixture_t *fixture, double link_mbps)
 {
 	carob_catalog_options_t options = CAROB_CATALOG_OPTIONS_INIT;
 
@@ -93,6 +95,7 @@
 	options.source = &fixture->source;
 	options.routes = &fixture->routes;
 	options.upstreams = &fixture->upstreams;
+	options.link_mbps = link_mbps;
 	fixture->listener.complete = fixture_complete;
 	options.listener = &fixture->listener;
 	CU_ASSERT_EQUAL_FATAL(carob_catalog_new(&fixture->catalog, &options),
@@ -100,6 +103,11 @@
 	carob_catalog_start(fixture->catalog);
 }
 
+static void fixture_init(fixture_t *fixture)
+{
+	fixture_init_link(fixture, 0);
+}
+
 static void fixture_dispose(fixture_t *fixture)
 {
 	carob_catalog_free(fixture->catalog);
@@ -332,15 +340,84 @@
 	fixture_dispose(&fixture);
 }
 
-/* A watch returns 500 changes at most. After so many, the next ones are read at
- * once: with a pause between any two reads, an instance would fall behind ever
- * more when many upstreams are replaced. */
+/* The pause runs from when the platform confirmed the changes: what was written
+ * while they were on a slow link waits since then. */
+static void test_pause_after_slow_response(void)
+{
+	static const struct {
+		uint32_t age_ms;
+		uint64_t pause_ms;
+	} cases[] = {{0, 1200}, {500, 700}, {1200, 0}, {5000, 0}};
+	const carob_catalog_change_t change = upstream_change("i-c", 11, false);
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(cases); i++) {
+		carob_catalog_reply_t reply = {.revision = 11,
+					       .count = 1,
+					       .changes = &change,
+					       .age_ms = cases[i].age_ms};
+		fixture_t fixture;
+
+		fixture_init(&fixture);
+		respond_listing(&fixture);
+		respond(&fixture, &reply);
+		if (cases[i].pause_ms)
+			advance(&fixture, cases[i].pause_ms - 1);
+		CU_ASSERT_EQUAL(fixture.reading, READ_NONE);
+		advance(&fixture, 1);
+		CU_ASSERT_EQUAL(fixture.reading, READ_WATCH);
+		fixture_dispose(&fixture);
+	}
+}
+
+/* Changes that are longer than a listing must not be read on a slow link: each
+ * version of a large configuration is among them. */
+static void test_changes_longer_than_listing(void)
+{
+	static const struct {
+		double link_mbps;
+		size_t list_bytes; /* of each of the two pages */
+		size_t bytes_max;
+	} cases[] = {
+		{0, 400000, 0},	      /* the rate is not known */
+		{10, 400000, 800000}, /* as long as the listing */
+		{10, 1000, 234375},   /* 187.5 ms of the link, 1/16 of 3 s */
+		{1500, 400000, 35156250},
+	};
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(cases); i++) {
+		const carob_catalog_change_t change = config_change(4, 2);
+		carob_catalog_reply_t page = {.revision = 10,
+					      .count = 1,
+					      .changes = &change,
+					      .bytes = cases[i].list_bytes};
+		fixture_t fixture;
+
+		fixture_init_link(&fixture, cases[i].link_mbps);
+		page.truncated = true;
+		page.last_key = CAROB_STR("servers/i-a");
+		respond(&fixture, &page);
+		page.truncated = false;
+		respond(&fixture, &page);
+		CU_ASSERT_EQUAL(fixture.reading, READ_WATCH);
+		CU_ASSERT_EQUAL(fixture.bytes_max, cases[i].bytes_max);
+		fixture_dispose(&fixture);
+	}
+}
+
+/* A watch returns 500 changes or 1 MB at most. After so many, the next ones are
+ * read at once: with a pause between any two reads, an instance would fall
+ * behind ever more when many upstreams are replaced or large versions come. */
 static void test_backlog(void)
 {
 	static const struct {
 		size_t count;
+		size_t bytes;
 		read_kind_t next;
-	} cases[] = {{1, READ_NONE}, {100, READ_NONE}, {500, READ_WATCH}};
+	} cases[] = {{1, 300, READ_NONE},
+		     {100, 30000, READ_NONE},
+		     {500, 150000, READ_WATCH},
+		     {1, 500000, READ_NONE},
+		     {2, 1000000, READ_WATCH}};
 	static carob_catalog_change_t changes[500];
 
 	for (size_t i = 0; i < CAROB_ARRAY_SIZE(changes); i++)
@@ -351,8 +428,11 @@
 
 		fixture_init(&fixture);
 		respond_listing(&fixture);
-		respond_with(&fixture, 10 + cases[i].count, changes,
-			     cases[i].count);
+		respond(&fixture, &(carob_catalog_reply_t){
+					  .revision = 10 + cases[i].count,
+					  .count = cases[i].count,
+					  .bytes = cases[i].bytes,
+					  .changes = changes});
 		CU_ASSERT_EQUAL(fixture.reading, cases[i].next);
 		fixture_dispose(&fixture);
 	}
@@ -1002,6 +1082,9 @@
 		{"is complete with the first upstream",
 		 test_complete_with_first_upstream},
 		{"pauses after changes", test_pause_after_changes},
+		{"pause after a slow response", test_pause_after_slow_response},
+		{"changes longer than a listing",
+		 test_changes_longer_than_listing},
 		{"reads a backlog without pauses", test_backlog},
 		{"lists in pages", test_pages},
 		{"retries a page that failed", test_failed_page},
--- a/tests/flow/evacuation_test.c
+++ b/tests/flow/evacuation_test.c
@@ -40,14 +40,12 @@
 }
 
 static void fixture_watch(carob_catalog_source_t *source,
-			  carob_catalog_reader_t *reader, uint64_t after,
-			  uint32_t wait_ms, uint32_t timeout_ms)
+			  carob_catalog_reader_t *reader,
+			  const carob_catalog_watch_t *watch)
 {
 	fixture_t *fixture = (fixture_t *)source;
 
-	(void)after;
-	(void)wait_ms;
-	(void)timeout_ms;
+	(void)watch;
 	fixture->reader = reader;
 	fixture->listing = false;
 }
--- a/tests/flow/relay_source_test.c
+++ b/tests/flow/relay_source_test.c
@@ -11,6 +11,8 @@
 #define MS	 CAROB_NS_PER_MS
 #define APPLY_MS 6000
 #define WAIT_MS	 3750
+/* Longest response that the catalogue takes. */
+#define BYTES_MAX 700000
 
 /* A source whose responses are given by the tests. */
 typedef struct fake_source {
@@ -20,6 +22,7 @@
 	uint64_t after;
 	uint32_t wait_ms;
 	uint32_t timeout_ms;
+	size_t bytes_max;
 	int reads;
 	int cancels;
 	char connected[CAROB_READER_NAME_MAX + 1];
@@ -52,16 +55,17 @@
 }
 
 static void fake_watch(carob_catalog_source_t *source,
-		       carob_catalog_reader_t *reader, uint64_t after,
-		       uint32_t wait_ms, uint32_t timeout_ms)
+		       carob_catalog_reader_t *reader,
+		       const carob_catalog_watch_t *watch)
 {
 	fake_source_t *fake = (fake_source_t *)source;
 
 	fake->reader = reader;
 	fake->listing = false;
-	fake->after = after;
-	fake->wait_ms = wait_ms;
-	fake->timeout_ms = timeout_ms;
+	fake->after = watch->after;
+	fake->wait_ms = watch->wait_ms;
+	fake->timeout_ms = watch->timeout_ms;
+	fake->bytes_max = watch->bytes_max;
 	fake->reads++;
 }
 
@@ -140,7 +144,12 @@
 	carob_catalog_source_t *source =
 		carob_relay_source_base(fixture->relay);
 
-	source->ops->watch(source, &fixture->client, after, WAIT_MS, 5250);
+	const carob_catalog_watch_t options = {.after = after,
+					       .wait_ms = WAIT_MS,
+					       .timeout_ms = 5250,
+					       .bytes_max = BYTES_MAX};
+
+	source->ops->watch(source, &fixture->client, &options);
 }
 
 static void respond(fake_source_t *fake, const carob_catalog_reply_t *reply)
@@ -164,6 +173,7 @@
 	watch(&fixture, 5);
 	CU_ASSERT_EQUAL(fixture.store.after, 5);
 	CU_ASSERT_EQUAL(fixture.store.wait_ms, WAIT_MS);
+	CU_ASSERT_EQUAL(fixture.store.bytes_max, BYTES_MAX);
 	respond(&fixture.store, &reply);
 	CU_ASSERT_EQUAL(fixture.replies, 1);
 	CU_ASSERT_EQUAL(fixture.reply.pace, CAROB_CATALOG_PACE_NORMAL);
@@ -253,6 +263,7 @@
 		CU_ASSERT_EQUAL(fixture.store.cancels, 1);
 		CU_ASSERT_TRUE(fixture.store.wait_ms <= 1);
 		CU_ASSERT_TRUE(fixture.store.timeout_ms <= 1000);
+		CU_ASSERT_EQUAL(fixture.store.bytes_max, BYTES_MAX);
 	}
 	fixture_dispose(&fixture);
 }
--- a/tests/platform/relay_server_test.c
+++ b/tests/platform/relay_server_test.c
@@ -113,6 +113,8 @@
 		       const carob_addr_t *local)
 {
 	carob_reader_slot_t slot = {.used = true, .name = "reader"};
+	const carob_catalog_watch_t watch = {
+		.after = 1, .wait_ms = WAIT_MS, .timeout_ms = TIMEOUT_MS};
 	carob_peer_source_t *source;
 
 	slot.endpoint = carob_endpoint_of(local);
@@ -124,8 +126,7 @@
 			      0);
 	source = platform_peer_source(peer->store);
 	source->connect(source, &slot);
-	source->source.ops->watch(&source->source, &peer->reader, 1, WAIT_MS,
-				  TIMEOUT_MS);
+	source->source.ops->watch(&source->source, &peer->reader, &watch);
 }
 
 /* Test programs of several runs have different addresses. */
