--- a/tests/flow/catalog_slow_link_test.c
+++ b/tests/flow/catalog_slow_link_test.c
@@ -14,9 +14,9 @@
 #define TICK_MS		   5
 #define LENGTH_MS	   40000
 #define CONTACT_MS	   5000
-#define DRAIN_MS	   5000
 #define APPLY_MS	   5000
-#define RESPONSE_MS	   10 /* until the first byte of a response */
+#define BOUND_MS	   5000 /* until a change of either kind is in force */
+#define RESPONSE_MS	   10	/* until the first byte of a response */
 #define UPSTREAMS	   150
 #define UPSTREAM_BYTES	   400
 #define DRAIN_EVERY_MS	   250
@@ -328,9 +328,8 @@
 		return;
 	for (size_t i = 0; i < fixture->event_count; i++) {
 		event_t *event = &fixture->events[i];
-		uint64_t bound = event->version ? APPLY_MS : DRAIN_MS;
 
-		if (event->at_ms + bound < now && !event->missed &&
+		if (event->at_ms + BOUND_MS < now && !event->missed &&
 		    !is_in_force(fixture, event)) {
 			printf("\n%s: change of %llu ms not in force at %llu",
 			       c->name, (unsigned long long)event->at_ms,
