catalog: a watch times out by the age of the state

Cause: a watch timed out 7/8 of the contact time after its own beginning. A response that stopped in the middle had the same time-out anew.

The time-out now is what is left of 7/8 of the contact time since the platform confirmed the state, less the time of a listing on the own link, and the wait for changes is shorter by as much. A response fails after 1.5 s without a byte.

--- a/include/carobtrail/catalog.h
+++ b/include/carobtrail/catalog.h
@@ -128,7 +128,8 @@
 typedef struct carob_catalog_watch {
 	uint64_t after;	     /* the revision */
 	uint32_t wait_ms;    /* longest wait if there are no changes */
-	uint32_t timeout_ms; /* longest time without a byte */
+	uint32_t timeout_ms; /* longest time until the response begins */
+	uint32_t stall_ms;   /* longest time without a byte of a response */
 	/** A longer response fails at once, as `partial`; 0: no limit. */
 	size_t bytes_max;
 } carob_catalog_watch_t;
--- a/src/flow/sources/catalog.c
+++ b/src/flow/sources/catalog.c
@@ -15,11 +15,13 @@
 #define PROBE_TIMEOUT_MS 1000
 #define RETRY_MS_FIRST	 200
 #define RETRY_MS_MAX	 1000
-/* The maximum age of the cached state is divided into the wait of a watch, the
- * additional time until an unresponsive connection times out, and the rest for
- * the read that follows the timeout. */
+/* The maximum age of the cached state is divided into the age at which a watch
+ * begins, its wait, the additional time until an unresponsive connection times
+ * out, and the rest for the pause and the read that follow the timeout. */
 #define WATCH_WAIT_MS(contact_ms)    ((contact_ms)*5 / 8)
 #define WATCH_TIMEOUT_MS(contact_ms) ((contact_ms)*7 / 8)
+#define WATCH_MARGIN_MS(contact_ms)                                            \
+	(WATCH_TIMEOUT_MS(contact_ms) - WATCH_WAIT_MS(contact_ms))
 /* Pause after a watch that returned changes. Changes come in bursts and each
  * call is a cost, so the pause lets one call read a whole burst. */
 #define BURST_PAUSE_MS(apply_ms)	((apply_ms)*2 / 5)
@@ -109,15 +111,42 @@
 							: catalog->list_bytes;
 }
 
+/* Returns the time that a listing takes on the own link. It is bounded, as a
+ * watch has to wait for changes for some time. */
+static uint64_t listing_ms(const carob_catalog_t *catalog)
+{
+	double bytes_per_ms =
+		catalog->options.link_mbps * BYTES_PER_MBIT / 1000;
+	uint64_t max_ms = WATCH_MARGIN_MS(catalog->options.contact_ms);
+	double ms = 0;
+
+	if (bytes_per_ms > 0)
+		ms = (double)catalog->list_bytes / bytes_per_ms;
+	return ms < (double)max_ms ? (uint64_t)ms : max_ms;
+}
+
+/* Returns the time until a watch has to be answered, so that the state can be
+ * read on another connection before it is too old; 0: that time is over. The
+ * connection may have gone silent since the last response. */
+static uint64_t time_left_ms(const carob_catalog_t *catalog)
+{
+	uint64_t spent_ms = carob_catalog_age_ms(catalog) + listing_ms(catalog);
+	uint64_t limit_ms = WATCH_TIMEOUT_MS(catalog->options.contact_ms);
+
+	return limit_ms > spent_ms ? limit_ms - spent_ms : 0;
+}
+
 static void read_changes(carob_catalog_t *catalog)
 {
-	bool probe = catalog->failures > 0;
-	uint32_t contact_ms = catalog->options.contact_ms;
+	uint64_t margin_ms = WATCH_MARGIN_MS(catalog->options.contact_ms);
+	uint64_t left_ms = time_left_ms(catalog);
+	bool probe = catalog->failures > 0 || left_ms <= margin_ms;
 	const carob_catalog_watch_t watch = {
 		.after = catalog->revision,
-		.wait_ms = probe ? PROBE_WAIT_MS : WATCH_WAIT_MS(contact_ms),
-		.timeout_ms = probe ? PROBE_TIMEOUT_MS
-				    : WATCH_TIMEOUT_MS(contact_ms),
+		.wait_ms = probe ? PROBE_WAIT_MS
+				 : (uint32_t)(left_ms - margin_ms),
+		.timeout_ms = probe ? PROBE_TIMEOUT_MS : (uint32_t)left_ms,
+		.stall_ms = LIST_TIMEOUT_MS,
 		.bytes_max = changes_bytes_max(catalog),
 	};
 
--- a/src/flow/sources/relay_source.c
+++ b/src/flow/sources/relay_source.c
@@ -108,6 +108,7 @@
 		.after = relay->watch.after,
 		.wait_ms = PEER_WAIT_MS(apply_ms),
 		.timeout_ms = PEER_TIMEOUT_MS(apply_ms),
+		.stall_ms = PEER_TIMEOUT_MS(apply_ms),
 		.bytes_max = relay->watch.bytes_max,
 	};
 
--- a/tests/flow/catalog_test.c
+++ b/tests/flow/catalog_test.c
@@ -29,6 +29,7 @@
 	uint64_t revision;   /* argument of the last watch */
 	uint32_t wait_ms;
 	uint32_t timeout_ms;
+	uint32_t stall_ms;
 	size_t bytes_max;
 	int reads; /* number of reads so far */
 	uint64_t era;
@@ -62,6 +63,7 @@
 	fixture->revision = watch->after;
 	fixture->wait_ms = watch->wait_ms;
 	fixture->timeout_ms = watch->timeout_ms;
+	fixture->stall_ms = watch->stall_ms;
 	fixture->bytes_max = watch->bytes_max;
 	fixture->reads++;
 }
@@ -234,8 +236,9 @@
 	fixture_dispose(&fixture);
 }
 
-/* Responds with a configuration and the upstreams i-a and i-b. */
-static void respond_listing(fixture_t *fixture)
+/* Responds with a configuration and the upstreams i-a and i-b, in a body of a
+ * given length. */
+static void respond_listing_of(fixture_t *fixture, size_t bytes)
 {
 	const carob_catalog_change_t changes[] = {
 		config_change(4, 2),
@@ -243,7 +246,16 @@
 		upstream_change("i-b", 4, false),
 	};
 
-	respond_with(fixture, 10, changes, CAROB_ARRAY_SIZE(changes));
+	respond(fixture,
+		&(carob_catalog_reply_t){.revision = 10,
+					 .count = CAROB_ARRAY_SIZE(changes),
+					 .changes = changes,
+					 .bytes = bytes});
+}
+
+static void respond_listing(fixture_t *fixture)
+{
+	respond_listing_of(fixture, 0);
 }
 
 /* Returns whether the upstream is in the state. */
@@ -294,6 +306,77 @@
 	fixture_dispose(&fixture);
 }
 
+/* All connections to the store fall silent just after a response. The instance
+ * must have read the store again within `contact_ms`, also if it paused before
+ * it used the connection again. */
+static void test_silence_after_response(void)
+{
+	static const struct {
+		uint32_t contact_ms;
+		uint32_t apply_ms;
+		size_t count;	  /* changes of the response */
+		uint32_t age_ms;  /* time that the response took */
+		double link_mbps; /* 569 KB take 455 ms at 10 Mbit/s */
+	} cases[] = {
+		{4000, 3000, 0, 0, 0},	  {4000, 3000, 1, 0, 0},
+		{4000, 3000, 1, 900, 0},  {5000, 5000, 1, 0, 200},
+		{5000, 5000, 1, 0, 10},	  {5000, 5000, 1, 1900, 10},
+		{5000, 5000, 0, 400, 10}, {6000, 6000, 1, 0, 20},
+		{6000, 6000, 0, 0, 20},	  {5000, 5000, 250, 1900, 10},
+	};
+	static carob_catalog_change_t changes[250];
+
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(changes); i++)
+		changes[i] = (carob_catalog_change_t){
+			.kind = CAROB_CATALOG_OTHER, .revision = 11 + i};
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(cases); i++) {
+		carob_catalog_reply_t reply = {.revision = 400,
+					       .count = cases[i].count,
+					       .changes = changes,
+					       .age_ms = cases[i].age_ms};
+		fixture_t fixture;
+		uint64_t spent_ms = cases[i].age_ms;
+
+		fixture_init_link(&fixture, cases[i].link_mbps);
+		carob_catalog_set_deadlines(fixture.catalog,
+					    cases[i].contact_ms,
+					    cases[i].apply_ms);
+		respond_listing_of(&fixture, 569000);
+		advance(&fixture, cases[i].age_ms);
+		respond(&fixture, &reply);
+		for (; fixture.reading == READ_NONE; spent_ms++)
+			advance(&fixture, 1);
+		CU_ASSERT_EQUAL(fixture.reading, READ_WATCH);
+		CU_ASSERT_TRUE(fixture.wait_ms < fixture.timeout_ms);
+		CU_ASSERT_TRUE(fixture.stall_ms <= 1500);
+		advance(&fixture, fixture.timeout_ms);
+		spent_ms += fixture.timeout_ms;
+		respond_error(&fixture, CAROB_EUNAVAILABLE);
+		for (; fixture.reading == READ_NONE; spent_ms++)
+			advance(&fixture, 1);
+		if (cases[i].link_mbps == 10)
+			spent_ms += 455;
+		CU_ASSERT_TRUE(spent_ms < cases[i].contact_ms);
+		if (spent_ms >= cases[i].contact_ms)
+			printf("\ncase %zu: read after %llu ms", i,
+			       (unsigned long long)spent_ms);
+		fixture_dispose(&fixture);
+	}
+}
+
+/* A listing that takes longer on the own link than there is time must not make
+ * the instance ask the store without pauses. */
+static void test_listing_longer_than_contact_time(void)
+{
+	fixture_t fixture;
+
+	fixture_init_link(&fixture, 1);
+	respond_listing_of(&fixture, 4000000);
+	CU_ASSERT_EQUAL(fixture.reading, READ_WATCH);
+	CU_ASSERT_TRUE(fixture.wait_ms >= 1000);
+	fixture_dispose(&fixture);
+}
+
 /* When a deployment starts, the configuration is stored before the upstreams
  * register. An instance that counted as complete by then would refuse every
  * flow. Once complete, the catalogue stays so when its upstreams are gone. */
@@ -1082,6 +1165,9 @@
 		{"is complete with the first upstream",
 		 test_complete_with_first_upstream},
 		{"pauses after changes", test_pause_after_changes},
+		{"silence after a response", test_silence_after_response},
+		{"listing longer than the contact time",
+		 test_listing_longer_than_contact_time},
 		{"pause after a slow response", test_pause_after_slow_response},
 		{"changes longer than a listing",
 		 test_changes_longer_than_listing},
--- a/tests/platform/relay_server_test.c
+++ b/tests/platform/relay_server_test.c
@@ -114,7 +114,11 @@
 {
 	carob_reader_slot_t slot = {.used = true, .name = "reader"};
 	const carob_catalog_watch_t watch = {
-		.after = 1, .wait_ms = WAIT_MS, .timeout_ms = TIMEOUT_MS};
+		.after = 1,
+		.wait_ms = WAIT_MS,
+		.timeout_ms = TIMEOUT_MS,
+		.stall_ms = TIMEOUT_MS,
+	};
 	carob_peer_source_t *source;
 
 	slot.endpoint = carob_endpoint_of(local);
--- a/tests/platform/store_test.c
+++ b/tests/platform/store_test.c
@@ -22,6 +22,7 @@
 #define PAD_BYTES  10000
 #define REVISION   7
 #define TIMEOUT_MS 3000
+#define STALL_MS   600
 
 static const struct response_case {
 	const char *name;
@@ -37,6 +38,8 @@
 	{"as long as allowed", 2 * PAD_BYTES, 5000, 100, 0, false, 90, 2000},
 	{"its header says that it is too long", 5000, 100, 0,
 	 CAROB_EUNAVAILABLE, true, 0, 1000},
+	{"silent after its first part", 0, 5000, 0, CAROB_EUNAVAILABLE, false,
+	 0, 2000},
 };
 
 typedef struct testbed {
@@ -145,6 +148,7 @@
 		.after = 1,
 		.wait_ms = 1,
 		.timeout_ms = TIMEOUT_MS,
+		.stall_ms = STALL_MS,
 		.bytes_max = testbed->c->bytes_max,
 	};
 	carob_catalog_source_t *source;
@@ -214,7 +218,7 @@
 }
 
 /* A response that arrives slowly counts as old as its first byte, and one that
- * is longer than allowed is given up before its body has come. */
+ * is longer than allowed, or stops, is given up before its body has come. */
 static void test_responses(void)
 {
 	for (size_t i = 0; i < CAROB_ARRAY_SIZE(cases); i++)
