--- a/tests/platform/items_test.c
+++ b/tests/platform/items_test.c
@@ -2,6 +2,7 @@
 
 #include "carobtrail/errors.h"
 #include "emulator/common/cbor_json.h"
+#include "platform/cbor_write.h"
 #include "test_runner.h"
 
 #include <jansson.h>
@@ -394,6 +395,192 @@
 	}
 }
 
+/* Another writer's entry, and a valid one behind it in the same response. */
+typedef struct odd_entry {
+	const char *name;
+	carob_str_t key;
+	carob_str_t value; /* in CBOR, or its beginning */
+	uint8_t fill;	   /* the rest of the value */
+	size_t fill_bytes;
+	carob_catalog_change_kind_t kind;
+} odd_entry_t;
+
+#define ODD_KEY CAROB_STR("servers/i-01")
+/* A map of the members of a valid entry, all but one, and that one. */
+#define ODD_MEMBERS                                                            \
+	"\xa8\x67service\x64"                                                  \
+	"desk\x64zone\x65hou-a\x67version\x62v1\x65state\x65ready"             \
+	"\x67"                                                                 \
+	"cold_ms\x00"
+#define ODD_ADDRESS                                                            \
+	"\x67"                                                                 \
+	"address\x6f"                                                          \
+	"10.128.0.9:8080"
+#define ODD_SLOTS "\x65slots\x03"
+#define ODD_SEQ	  "\x63seq\x04"
+#define ODD_KIND  CAROB_CATALOG_UPSTREAM_UNUSABLE
+
+static const odd_entry_t odd_entries[] = {
+	{"valid", ODD_KEY, CAROB_STR(ODD_MEMBERS ODD_ADDRESS ODD_SLOTS ODD_SEQ),
+	 0, 0, CAROB_CATALOG_UPSTREAM},
+	{"arrays nested a million times", ODD_KEY, CAROB_STR("\xa1\x61x"), 0x81,
+	 1000000, ODD_KIND},
+	{"maps nested half a million times", ODD_KEY, CAROB_STR("\xa1\x61x"),
+	 0xa1, 500000, ODD_KIND},
+	{"port out of range", ODD_KEY,
+	 CAROB_STR(ODD_MEMBERS "\x67"
+			       "address\x70"
+			       "10.128.0.9:65536" ODD_SLOTS ODD_SEQ),
+	 0, 0, ODD_KIND},
+	{"port 0", ODD_KEY,
+	 CAROB_STR(ODD_MEMBERS "\x67"
+			       "address\x6c"
+			       "10.128.0.9:0" ODD_SLOTS ODD_SEQ),
+	 0, 0, ODD_KIND},
+	{"port of 20 digits", ODD_KEY,
+	 CAROB_STR(ODD_MEMBERS
+		   "\x67"
+		   "address\x78\x1f"
+		   "10.128.0.9:99999999999999999999" ODD_SLOTS ODD_SEQ),
+	 0, 0, ODD_KIND},
+	{"sequence above 63 bits", ODD_KEY,
+	 CAROB_STR(ODD_MEMBERS ODD_ADDRESS ODD_SLOTS
+		   "\x63seq\x1b\xff\xff\xff\xff\xff\xff\xff\xff"),
+	 0, 0, ODD_KIND},
+	{"sequence below 63 bits", ODD_KEY,
+	 CAROB_STR(ODD_MEMBERS ODD_ADDRESS ODD_SLOTS
+		   "\x63seq\x3b\xff\xff\xff\xff\xff\xff\xff\xff"),
+	 0, 0, ODD_KIND},
+	{"slots above 32 bits", ODD_KEY,
+	 CAROB_STR(ODD_MEMBERS ODD_ADDRESS ODD_SEQ
+		   "\x65slots\x1b\x00\x00\x00\x01\x00\x00\x00\x03"),
+	 0, 0, ODD_KIND},
+	{"slots of 1e300", ODD_KEY,
+	 CAROB_STR(ODD_MEMBERS ODD_ADDRESS ODD_SEQ
+		   "\x65slots\xfb\x7e\x37\xe4\x3c\x88\x00\x75\x9c"),
+	 0, 0, ODD_KIND},
+	{"slots infinite", ODD_KEY,
+	 CAROB_STR(ODD_MEMBERS ODD_ADDRESS ODD_SEQ "\x65slots\xf9\x7c\x00"), 0,
+	 0, ODD_KIND},
+	{"text longer than the value", ODD_KEY,
+	 CAROB_STR(ODD_MEMBERS ODD_ADDRESS ODD_SEQ "\x65slots\x7b\x7f\xff\xff"
+						   "\xff\xff\xff\xff\xff"),
+	 0, 0, ODD_KIND},
+	{"a million empty arrays", ODD_KEY,
+	 CAROB_STR("\xa1\x61x\x9a\x00\x0f\x42\x40"), 0x80, 1000000, ODD_KIND},
+	{"a million empty maps", ODD_KEY,
+	 CAROB_STR("\xa1\x61x\x9a\x00\x0f\x42\x40"), 0xa0, 1000000, ODD_KIND},
+};
+
+/* Longest memory of a process for what is not packets (the brief's letters). */
+#define CONTROL_BYTES_MAX ((size_t)32 * 1024 * 1024)
+
+static size_t json_bytes;
+static size_t json_bytes_peak;
+
+static void *allocate_counted(size_t size)
+{
+	size_t *block = malloc(size + 2 * sizeof(*block));
+
+	if (!block)
+		return NULL;
+	*block = size;
+	json_bytes += size;
+	if (json_bytes > json_bytes_peak)
+		json_bytes_peak = json_bytes;
+	return block + 2;
+}
+
+static void free_counted(void *bytes)
+{
+	size_t *block = bytes;
+
+	if (!block)
+		return;
+	json_bytes -= block[-2];
+	free(block - 2);
+}
+
+static void write_item(platform_cbor_writer_t *writer, carob_str_t key,
+		       carob_str_t value, uint64_t revision)
+{
+	size_t len = sodium_base64_encoded_len(value.len,
+					       sodium_base64_VARIANT_ORIGINAL);
+	char *text = malloc(len);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(text);
+	if (!text)
+		return;
+	sodium_bin2base64(text, len, (const uint8_t *)value.ptr, value.len,
+			  sodium_base64_VARIANT_ORIGINAL);
+	platform_cbor_write_map(writer, 3);
+	platform_cbor_write_text(writer, CAROB_STR("key"));
+	platform_cbor_write_text(writer, key);
+	platform_cbor_write_text(writer, CAROB_STR("revision"));
+	platform_cbor_write_uint(writer, revision);
+	platform_cbor_write_text(writer, CAROB_STR("value"));
+	platform_cbor_write_text(writer, (carob_str_t){text, len - 1});
+	free(text);
+}
+
+/* Writes a response with the entry and with a valid one under i-02. */
+static void write_odd_response(carob_buf_t *out, const odd_entry_t *odd)
+{
+	platform_cbor_writer_t writer = {0};
+	size_t len = odd->value.len + odd->fill_bytes;
+	char *value = malloc(len);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(value);
+	if (!value)
+		return;
+	memcpy(value, odd->value.ptr, odd->value.len);
+	memset(value + odd->value.len, odd->fill, odd->fill_bytes);
+	platform_cbor_write_map(&writer, 2);
+	platform_cbor_write_text(&writer, CAROB_STR("current_rev"));
+	platform_cbor_write_uint(&writer, 9);
+	platform_cbor_write_text(&writer, CAROB_STR("items"));
+	platform_cbor_write_array(&writer, 2);
+	write_item(&writer, odd->key, (carob_str_t){value, len}, 5);
+	write_item(&writer, CAROB_STR("servers/i-02"), odd_entries[0].value, 6);
+	CU_ASSERT_EQUAL_FATAL(writer.error, 0);
+	free(value);
+	*out = writer.out;
+}
+
+static void check_odd_entry(const odd_entry_t *odd)
+{
+	CAROB_CLEANUP(carob_buf_dispose) carob_buf_t body = CAROB_BUF_INIT;
+	platform_items_t *items = NULL;
+	const carob_catalog_reply_t *reply;
+	int error;
+
+	write_odd_response(&body, odd);
+	json_bytes_peak = json_bytes;
+	json_set_alloc_funcs(allocate_counted, free_counted);
+	error = platform_items_decode(&items, carob_buf_view(&body));
+	if (error || json_bytes_peak > CONTROL_BYTES_MAX) {
+		printf("\n%s: error %d, %zu bytes", odd->name, error,
+		       json_bytes_peak);
+		CU_FAIL("odd entry");
+	}
+	if (!error) {
+		reply = platform_items_reply(items);
+		CU_ASSERT_EQUAL(reply->count, 2);
+		CU_ASSERT_EQUAL(reply->changes[0].kind, odd->kind);
+		CU_ASSERT_EQUAL(reply->changes[1].kind, CAROB_CATALOG_UPSTREAM);
+	}
+	platform_items_free(items);
+	json_set_alloc_funcs(malloc, free);
+}
+
+/* One entry of another writer ended the process, by its stack or by its memory,
+ * or kept the others in the response from being used. */
+static void test_odd_entries(void)
+{
+	for (size_t i = 0; i < CAROB_ARRAY_SIZE(odd_entries); i++)
+		check_odd_entry(&odd_entries[i]);
+}
+
 /* Number of allocations by the JSON library until all further ones fail. */
 static size_t allocations_left;
 
@@ -450,6 +637,7 @@
 		{"route over many services", test_split_over_many_services},
 		{"malformed response bodies", test_malformed_bodies},
 		{"malformed or unsupported CBOR", test_invalid_cbor},
+		{"odd entries of another writer", test_odd_entries},
 		{"fails as such when memory runs out", test_out_of_memory},
 	};
 
