--- a/tests/platform/items_test.c
+++ b/tests/platform/items_test.c
@@ -466,6 +466,24 @@
 	 CAROB_STR(ODD_MEMBERS ODD_ADDRESS ODD_SEQ "\x65slots\x7b\x7f\xff\xff"
 						   "\xff\xff\xff\xff\xff"),
 	 0, 0, ODD_KIND},
+	{"service with a NUL byte", ODD_KEY,
+	 CAROB_STR("\xa8\x67"
+		   "service\x64"
+		   "de\x00k\x64zone\x65hou-a\x67"
+		   "version\x62v1\x65state\x65ready\x67"
+		   "cold_ms\x00" ODD_ADDRESS ODD_SLOTS ODD_SEQ),
+	 0, 0, ODD_KIND},
+	{"zone with a NUL byte", ODD_KEY,
+	 CAROB_STR("\xa8\x67"
+		   "service\x64"
+		   "desk\x64zone\x65hou\x00"
+		   "a\x67"
+		   "version\x62v1\x65state\x65ready\x67"
+		   "cold_ms\x00" ODD_ADDRESS ODD_SLOTS ODD_SEQ),
+	 0, 0, ODD_KIND},
+	{"id with a NUL byte", CAROB_STR("servers/i\0-01"),
+	 CAROB_STR(ODD_MEMBERS ODD_ADDRESS ODD_SLOTS ODD_SEQ), 0, 0,
+	 CAROB_CATALOG_OTHER},
 	{"a million empty arrays", ODD_KEY,
 	 CAROB_STR("\xa1\x61x\x9a\x00\x0f\x42\x40"), 0x80, 1000000, ODD_KIND},
 	{"a million empty maps", ODD_KEY,
