platform: ids with a number above 64 bits are not used

The number of an upstream is the hex digits of its id. More than 64 bits were cut off at the top, so that an entry of another writer could have the number, and with it the steering tag, of a living upstream. No such number fits into the 8 bytes in front of a packet: the entry is unusable.

--- a/tests/platform/items_test.c
+++ b/tests/platform/items_test.c
@@ -148,6 +148,12 @@
 		{"servers/i-0A", CAROB_CATALOG_UPSTREAM, 10},
 		{"servers/7f", CAROB_CATALOG_UPSTREAM, 0x7f},
 		{"servers/be-7f", CAROB_CATALOG_UPSTREAM, 0x7f},
+		{"servers/i-ffffffffffffffff", CAROB_CATALOG_UPSTREAM,
+		 UINT64_MAX},
+		{"servers/i-00000000000000007f", CAROB_CATALOG_UPSTREAM, 0x7f},
+		/* A number above 64 bits would be that of another upstream. */
+		{"servers/i-1000000000000007f", CAROB_CATALOG_UPSTREAM_UNUSABLE,
+		 0},
 		{"servers/i-", CAROB_CATALOG_UPSTREAM_UNUSABLE, 0},
 		{"servers/i-xyz", CAROB_CATALOG_UPSTREAM_UNUSABLE, 0},
 		{"servers/", CAROB_CATALOG_OTHER, 0},
