platform list: an entry that cannot be parsed leaves the others in use

One entry of another writer in the list of instances, with a number out of range or nested more than 2,048 levels deep, made the whole list unreadable: hints were no longer taken from it, and it was asked for again every 2 s.

Cause: the list was parsed as one JSON document. If that fails, its elements are now parsed one by one, and those that cannot be are left out and logged (event 2013, with their number and the first error). A list that is not a complete array is refused as before.

net-platform-list: four such lists fail before; three that are no complete arrays are refused before and after.

--- a/src/net/platform_list.c
+++ b/src/net/platform_list.c
@@ -1,6 +1,7 @@
 #include "net/platform_list.h"
 
 #include "carobtrail/errors.h"
+#include "carobtrail/log.h"
 #include "carobtrail/rng.h"
 
 #include <arpa/inet.h>
@@ -97,6 +98,90 @@
 	}
 }
 
+/* Returns the length of the array element at the beginning of `text`: what is
+ * before the comma or the bracket that ends it, or all of `text` if none does. */
+static size_t element_length(carob_str_t text)
+{
+	bool in_string = false;
+	size_t depth = 0;
+
+	for (size_t i = 0; i < text.len; i++) {
+		char c = text.ptr[i];
+
+		if (in_string && c == '\\')
+			i++;
+		else if (c == '"')
+			in_string = !in_string;
+		else if (in_string)
+			continue;
+		else if (depth == 0 && (c == ',' || c == ']' || c == '}'))
+			return i;
+		else if (c == '[' || c == '{')
+			depth++;
+		else if (c == ']' || c == '}')
+			depth--;
+	}
+	return text.len;
+}
+
+static carob_str_t skip(carob_str_t text, size_t len)
+{
+	return (carob_str_t){text.ptr + len, text.len - len};
+}
+
+static carob_str_t skip_space(carob_str_t text)
+{
+	while (text.len > 0 && strchr(" \t\r\n", *text.ptr) && *text.ptr)
+		text = skip(text, 1);
+	return text;
+}
+
+/* Parses the elements of an array one by one. Those that cannot be parsed are
+ * left out: a number out of range or deep nesting in one of them must not keep
+ * the others from being used.
+ * @return the array; NULL if `text` is not one, or memory is short */
+static json_t *parse_elements(carob_str_t text)
+{
+	json_t *entries = json_array();
+	size_t unusable = 0;
+	json_error_t first = {0};
+	char end = ',';
+
+	text = skip_space(text);
+	if (text.len == 0 || *text.ptr != '[')
+		end = '\0';
+	while (end == ',') {
+		json_error_t error;
+		size_t len;
+		json_t *entry;
+
+		text = skip(text, 1);
+		len = element_length(text);
+		entry = json_loadb(text.ptr, len, JSON_DECODE_ANY, &error);
+		if (!entry && unusable++ == 0)
+			first = error;
+		/* The function takes ownership of the entry. */
+		if (entry && json_array_append_new(entries, entry) != 0)
+			break;
+		text = skip(text, len);
+		end = text.len > 0 ? *text.ptr : '\0';
+	}
+	if (end != ']' || skip_space(skip(text, 1)).len > 0) {
+		json_decref(entries);
+		return NULL;
+	}
+	CAROB_LOG(CAROB_EV_ITEM_UNUSABLE, CAROB_FIELD_U64("count", unusable),
+		  CAROB_FIELD_CSTR("error", first.text));
+	return entries;
+}
+
+static json_t *parse_entries(carob_str_t text)
+{
+	json_t *entries = json_loadb(text.ptr, text.len, 0, NULL);
+
+	return entries ? entries : parse_elements(text);
+}
+
 static bool handle_response(carob_platform_list_t *list,
 			    struct evhttp_request *request)
 {
@@ -107,8 +192,9 @@
 	if (!request || evhttp_request_get_response_code(request) != HTTP_OK)
 		return false;
 	body = evhttp_request_get_input_buffer(request);
-	entries = json_loadb((const char *)evbuffer_pullup(body, -1),
-			     evbuffer_get_length(body), 0, NULL);
+	entries = parse_entries(
+		(carob_str_t){(const char *)evbuffer_pullup(body, -1),
+			      evbuffer_get_length(body)});
 	is_list = json_is_array(entries);
 	if (is_list)
 		report_hints(list, entries);
--- a/tests/net/platform_list_test.c
+++ b/tests/net/platform_list_test.c
@@ -113,6 +113,10 @@
 #define ENTRY(ip, port)                                                        \
 	"{\"ServiceAddress\":\"" ip "\",\"ServicePort\":" port "}"
 
+#define TEN(text) text text text text text text text text text text
+/* An array nested deeper than the JSON library follows. */
+#define DEEP TEN(TEN(TEN("[[["))) TEN(TEN(TEN("]]]")))
+
 typedef struct response_case {
 	int status;
 	const char *body;
@@ -142,6 +146,22 @@
 										     "8") "," ENTRY("10.0.0.1",
 												    "9") "]",
 		 CAROB_PLATFORM_HINTS_MAX, false},
+		/* Elements that cannot be parsed leave the others in use. */
+		{200,
+		 "[{\"ServicePort\":18446744073709551616}," ENTRY("10.0.0.1",
+								  "9") "]",
+		 1, false},
+		{200,
+		 "[" ENTRY("10.0.0.1", "9") ",{\"x\":1e999}," ENTRY("10.0.0.2",
+								    "9") " ]\n",
+		 2, false},
+		{200,
+		 "[{\"x\":\"]},\\\"\",\"y\":1e999}," ENTRY("10.0.0.1", "9") "]",
+		 1, false},
+		{200, "[" DEEP "," ENTRY("10.0.0.1", "9") "]", 1, false},
+		{200, "[1e999," ENTRY("10.0.0.1", "9") "}", 0, true},
+		{200, "[1e999," ENTRY("10.0.0.1", "9") "]]", 0, true},
+		{200, "[1e999," ENTRY("10.0.0.1", "9"), 0, true},
 		{200, "{}", 0, true},
 		{200, "", 0, true},
 		{200, "[{", 0, true},
