steering: flows of other instances are not reset at failing upstreams

Cause: in a planned restart routers gave the flow to an instance and took it back in the middle of a request, 0.14 s later.

Overdue requests at failing upstreams are now reset only on flows that were opened through this instance.

flow-failing-requests, "flow of another instance": 1 reset before, 0 now.

--- a/include/carobtrail/flow_table.h
+++ b/include/carobtrail/flow_table.h
@@ -37,6 +37,8 @@
 	uint8_t missing : 1;
 	/** `response_bytes` counts the response to the last request. */
 	uint8_t measured : 1;
+	/** It was opened through another instance; routers may move it back. */
+	uint8_t taken_over : 1;
 	uint16_t response_bytes; /* acknowledged so far; at most UINT16_MAX */
 	carob_upstream_index_t upstream;
 	uint32_t first_seq; /* sequence number of the caller's SYN */
--- a/src/flow/steering/steering.c
+++ b/src/flow/steering/steering.c
@@ -380,6 +380,7 @@
 	flow = carob_steering_add_flow(steering, packet, CAROB_FLOW_OPEN, to);
 	if (!flow)
 		return;
+	flow->taken_over = true;
 	flow->last_seq = packet->seq - 1;
 	carob_steering_track_packet(steering, flow, packet);
 }
--- a/src/flow/steering/steering_sweep.c
+++ b/src/flow/steering/steering_sweep.c
@@ -61,16 +61,20 @@
 	return route && route->idempotent;
 }
 
-/* Returns whether a request began after its upstream was found to fail. The
- * callers of earlier ones may have been moved to another instance. */
-static bool is_after_verdict(const carob_steering_t *steering,
-			     const carob_flow_t *flow)
+/* Returns whether a request is overdue because of its upstream. The caller of
+ * one that began before the upstream was found to fail may have been moved to
+ * another instance. So may that of a flow which was opened through another
+ * one: routers move it back when that has returned, and a request whose
+ * response it acknowledges there looks overdue here. */
+static bool is_failed_request(const carob_steering_t *steering,
+			      const carob_flow_t *flow)
 {
 	uint64_t since_ns = steering->upstreams->items[flow->upstream]
 				    .outlier.failing_since_ns;
 	uint32_t since_ms = (uint32_t)(since_ns / CAROB_NS_PER_MS);
 
-	return (int32_t)(flow->request_ms - since_ms) > 0;
+	return flow->overdue && !flow->taken_over &&
+	       (int32_t)(flow->request_ms - since_ms) > 0;
 }
 
 static bool reset_flow(carob_flow_visitor_t *visitor, carob_flow_t *flow)
@@ -87,8 +91,7 @@
 		return false;
 	if (flow->pending ? !may_repeat(steering, &packet) : !reset->idle)
 		return false;
-	if (reset->overdue &&
-	    !(flow->overdue && is_after_verdict(steering, flow)))
+	if (reset->overdue && !is_failed_request(steering, flow))
 		return false;
 	reset->sender->send(reset->sender, &packet, flow->last_ack);
 	reset->count++;
--- a/tests/flow/failing_requests_test.c
+++ b/tests/flow/failing_requests_test.c
@@ -172,6 +172,24 @@
 	}
 }
 
+/* No reset: the flow was opened through another instance, and routers that give
+ * it back in the middle of a request take the response's acknowledgements away
+ * from this one. The upstream serves, and the reset would break the flow. */
+static void test_flow_of_another_instance(void)
+{
+	fixture_t fixture;
+
+	fixture_init(&fixture, true);
+	fixture.upstream = &fixture.upstreams.items[0];
+	run(&fixture, 1500, 0.9F);
+	CU_ASSERT_TRUE(fixture.upstream->outlier.failing);
+	(void)steer(&fixture,
+		    fixture_data(1, fixture.upstream->tag, 10, 10, 7000));
+	run(&fixture, 1500, 0.9F);
+	CU_ASSERT_EQUAL(fixture.resets, 0);
+	fixture_dispose(&fixture);
+}
+
 /* A request whose caller falls silent counts as missing, once; a caller that
  * ends the flow has its response or has given up. */
 static void test_missing(void)
@@ -203,6 +221,7 @@
 	static const test_case_t cases[] = {
 		{"earlier requests", test_earlier_requests},
 		{"next request", test_next_request},
+		{"flow of another instance", test_flow_of_another_instance},
 		{"missing", test_missing},
 	};
 
