--- a/tests/flow/catalog_slow_link_test.c
+++ b/tests/flow/catalog_slow_link_test.c
@@ -4,6 +4,7 @@
 #include "carobtrail/catalog.h"
 
 #include "carobtrail/errors.h"
+#include "flow/catalog_changes.h"
 #include "test_runner.h"
 
 #include <stdio.h>
@@ -236,29 +237,12 @@
 	};
 }
 
-static carob_catalog_change_t config_change(uint64_t version, uint64_t revision)
-{
-	static const carob_catalog_share_t share = {.service = {"desk", 4},
-						    .weight = 1};
-	static const carob_catalog_route_t route = {
-		.endpoint = {0xc6120001, 443},
-		.share_count = 1,
-		.shares = &share,
-	};
-
-	return (carob_catalog_change_t){
-		.kind = CAROB_CATALOG_CONFIG,
-		.revision = revision,
-		.config = {.version = version, .count = 1, .routes = &route},
-	};
-}
-
 static carob_catalog_change_t change_of(const fixture_t *fixture, size_t event)
 {
 	const event_t *e = &fixture->events[event];
 
 	return e->version
-		       ? config_change(e->version, event + 1)
+		       ? catalog_config_change(e->version, event + 1)
 		       : upstream_change(fixture, e->upstream, true, event + 1);
 }
 
--- a/tests/flow/catalog_test.c
+++ b/tests/flow/catalog_test.c
@@ -2,6 +2,7 @@
 
 #include "carobtrail/errors.h"
 #include "carobtrail/log.h"
+#include "flow/catalog_changes.h"
 #include "test_runner.h"
 
 #include <string.h>
@@ -169,23 +170,6 @@
 	};
 }
 
-static carob_catalog_change_t config_change(uint64_t version, uint64_t revision)
-{
-	static const carob_catalog_share_t share = {.service = {"desk", 4},
-						    .weight = 1};
-	static const carob_catalog_route_t route = {
-		.endpoint = {0xc6120001, 443},
-		.share_count = 1,
-		.shares = &share,
-	};
-
-	return (carob_catalog_change_t){
-		.kind = CAROB_CATALOG_CONFIG,
-		.revision = revision,
-		.config = {.version = version, .count = 1, .routes = &route},
-	};
-}
-
 static void respond_with(fixture_t *fixture, uint64_t revision,
 			 const carob_catalog_change_t *changes, size_t count)
 {
@@ -204,7 +188,7 @@
 		.name = {"desk", 4}, .cold_per_s = 3, .cold_start_ms = 8000};
 	fixture_t fixture;
 	carob_catalog_change_t changes[] = {
-		config_change(4, 2),
+		catalog_config_change(4, 2),
 		upstream_change("i-a", 3, false),
 	};
 	carob_catalog_change_t later = upstream_change("i-a", 12, false);
@@ -227,7 +211,7 @@
 	CU_ASSERT_EQUAL(fixture.upstreams.items[0].cold_until_ns,
 			cold_until_ns);
 	advance(&fixture, 2000);
-	changes[0] = config_change(5, 13);
+	changes[0] = catalog_config_change(5, 13);
 	changes[1] = upstream_change("i-a", 14, false);
 	changes[1].upstream.cold_unstated = true;
 	respond_with(&fixture, 14, changes, 2);
@@ -241,7 +225,7 @@
 static void respond_listing_of(fixture_t *fixture, size_t bytes)
 {
 	const carob_catalog_change_t changes[] = {
-		config_change(4, 2),
+		catalog_config_change(4, 2),
 		upstream_change("i-a", 3, false),
 		upstream_change("i-b", 4, false),
 	};
@@ -382,7 +366,7 @@
  * flow. Once complete, the catalogue stays so when its upstreams are gone. */
 static void test_complete_with_first_upstream(void)
 {
-	const carob_catalog_change_t first = config_change(4, 2);
+	const carob_catalog_change_t first = catalog_config_change(4, 2);
 	const carob_catalog_change_t second = upstream_change("i-a", 3, false);
 	const carob_catalog_change_t third = removal_change("i-a", 4);
 	fixture_t fixture;
@@ -468,7 +452,8 @@
 	};
 
 	for (size_t i = 0; i < CAROB_ARRAY_SIZE(cases); i++) {
-		const carob_catalog_change_t change = config_change(4, 2);
+		const carob_catalog_change_t change =
+			catalog_config_change(4, 2);
 		carob_catalog_reply_t page = {.revision = 10,
 					      .count = 1,
 					      .changes = &change,
@@ -600,7 +585,7 @@
 static void test_lost_history(void)
 {
 	const carob_catalog_change_t remaining[] = {
-		config_change(4, 2), upstream_change("i-b", 4, false)};
+		catalog_config_change(4, 2), upstream_change("i-b", 4, false)};
 	fixture_t fixture;
 
 	fixture_init(&fixture);
@@ -621,10 +606,10 @@
 static void test_older_items(void)
 {
 	const carob_catalog_change_t newer[] = {
-		config_change(9, 11), upstream_change("i-a", 12, true),
+		catalog_config_change(9, 11), upstream_change("i-a", 12, true),
 		removal_change("i-b", 13)};
 	const carob_catalog_change_t older[] = {
-		config_change(4, 2), upstream_change("i-a", 3, false),
+		catalog_config_change(4, 2), upstream_change("i-a", 3, false),
 		upstream_change("i-b", 4, false)};
 	fixture_t fixture;
 
@@ -751,7 +736,7 @@
 static void begin_first_era(fixture_t *fixture)
 {
 	const carob_catalog_change_t changes[] = {
-		config_change(4, 2),
+		catalog_config_change(4, 2),
 		report("i-a", 90, 3, false),
 		report("i-b", 91, 3, false),
 	};
@@ -768,7 +753,7 @@
 			 uint64_t sequence)
 {
 	const carob_catalog_change_t changes[] = {
-		config_change(4, 2),
+		catalog_config_change(4, 2),
 		report("i-b", 4, 3, false),
 		report("i-a", 5, sequence, copy == COPY_DRAINING),
 	};
@@ -917,9 +902,9 @@
 /* The copy may hold a configuration that is older than the one in force. */
 static void test_older_configuration_in_copy(void)
 {
-	const carob_catalog_change_t newer = config_change(9, 101);
-	const carob_catalog_change_t again = config_change(9, 51);
-	const carob_catalog_change_t next = config_change(11, 52);
+	const carob_catalog_change_t newer = catalog_config_change(9, 101);
+	const carob_catalog_change_t again = catalog_config_change(9, 51);
+	const carob_catalog_change_t next = catalog_config_change(11, 52);
 	fixture_t fixture;
 
 	begin_first_era(&fixture);
--- a/tests/platform/items_test.c
+++ b/tests/platform/items_test.c
@@ -496,7 +496,7 @@
 	 CAROB_STR("\xa1\x61x\x9a\x00\x0f\x42\x40"), 0xa0, 1000000, ODD_KIND},
 };
 
-/* Longest memory of a process for what is not packets (the brief's letters). */
+/* Memory that the design allows a process for what is not packets. */
 #define CONTROL_BYTES_MAX ((size_t)32 * 1024 * 1024)
 
 static size_t json_bytes;
