--- a/src/net/platform_list.c
+++ b/src/net/platform_list.c
@@ -129,49 +129,67 @@
 	return (carob_str_t){text.ptr + len, text.len - len};
 }
 
+static bool is_space(char c)
+{
+	return c == ' ' || c == '\t' || c == '\r' || c == '\n';
+}
+
 static carob_str_t skip_space(carob_str_t text)
 {
-	while (text.len > 0 && strchr(" \t\r\n", *text.ptr) && *text.ptr)
+	while (text.len > 0 && is_space(*text.ptr))
 		text = skip(text, 1);
 	return text;
 }
 
+/* Elements that could not be parsed. */
+typedef struct unusable {
+	size_t count;
+	json_error_t first;
+} unusable_t;
+
+/* Parses an element and appends it; one that cannot be parsed is counted.
+ * @return 0, or -1 if memory is short */
+static int append_element(json_t *entries, unusable_t *unusable,
+			  carob_str_t text)
+{
+	json_error_t error;
+	json_t *entry = json_loadb(text.ptr, text.len, JSON_DECODE_ANY, &error);
+
+	if (!entry && unusable->count++ == 0)
+		unusable->first = error;
+	/* The function takes ownership of the entry. */
+	return entry ? json_array_append_new(entries, entry) : 0;
+}
+
 /* Parses the elements of an array one by one. Those that cannot be parsed are
  * left out: a number out of range or deep nesting in one of them must not keep
  * the others from being used.
  * @return the array; NULL if `text` is not one, or memory is short */
 static json_t *parse_elements(carob_str_t text)
 {
+	carob_str_t rest = skip_space(text);
+	char end = rest.len > 0 && *rest.ptr == '[' ? ',' : '\0';
 	json_t *entries = json_array();
-	size_t unusable = 0;
-	json_error_t first = {0};
-	char end = ',';
+	unusable_t unusable = {0};
 
-	text = skip_space(text);
-	if (text.len == 0 || *text.ptr != '[')
-		end = '\0';
 	while (end == ',') {
-		json_error_t error;
 		size_t len;
-		json_t *entry;
 
-		text = skip(text, 1);
-		len = element_length(text);
-		entry = json_loadb(text.ptr, len, JSON_DECODE_ANY, &error);
-		if (!entry && unusable++ == 0)
-			first = error;
-		/* The function takes ownership of the entry. */
-		if (entry && json_array_append_new(entries, entry) != 0)
+		rest = skip(rest, 1);
+		len = element_length(rest);
+		if (append_element(entries, &unusable,
+				   (carob_str_t){rest.ptr, len}) != 0)
 			break;
-		text = skip(text, len);
-		end = text.len > 0 ? *text.ptr : '\0';
+		rest = skip(rest, len);
+		end = rest.len > 0 ? *rest.ptr : '\0';
 	}
-	if (end != ']' || skip_space(skip(text, 1)).len > 0) {
+	if (end != ']' || skip_space(skip(rest, 1)).len > 0) {
 		json_decref(entries);
 		return NULL;
 	}
-	CAROB_LOG(CAROB_EV_ITEM_UNUSABLE, CAROB_FIELD_U64("count", unusable),
-		  CAROB_FIELD_CSTR("error", first.text));
+	CAROB_LOG(CAROB_EV_ITEM_UNUSABLE,
+		  CAROB_FIELD_U64("count", unusable.count),
+		  CAROB_FIELD_CSTR("error", unusable.first.text));
 	return entries;
 }
 
